--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -41,16 +41,25 @@
 constexpr double kSlow = 2.2;         // pace against the fleet's median: an engine is slow from here
 constexpr double kSlowSamples = 8;    // answers before a pace is believed
 constexpr double kPaceStep = 0.1;     // weight of one answer in an engine's pace
+constexpr double kLevelStep = 0.1;    // weight of one report in the fleet's level, threads a core
+constexpr double kFleetStep = 0.04;   // weight of one answer in the fleet's pace
 constexpr double kOwnPart = 0.25;     // of an engine's load as judged: own threads times gateways
 constexpr double kFarZone = 0.1;      // threads a core that another zone must be emptier by
 constexpr double kHeldGroup = 3.0;    // threads a core: weight of a load known to hold the query's group
-constexpr std::size_t kHomes = 2;     // engines that all loads of one group share
+constexpr std::size_t kHomes = 2;     // engines that all loads of one group share, at the least;
+constexpr std::size_t kHomePart = 5;  // and one in so many of a large fleet
 constexpr double kHomeKeepOff = 6.0;  // threads a core: a reader of the group keeps off them
 constexpr double kGrant = 3.2;        // memory granted, in needs of late as answers told them
 constexpr double kWarmHome = 0.3;     // threads a core that a group's homes may be fuller by: warm data
 constexpr Time kFresh = 2500ms;       // older load reports tell nothing
+constexpr double kReportLife = 1.5;   // s in which a report loses weight to the fleet's level
 constexpr Time kProbeAge = 300ms;     // a report older than this is worth a probe
+constexpr Time kProbeWait = 40ms;     // a query waits this long for the probes made for it
 constexpr double kProbesPerQuery = 1;  // at most
+constexpr std::size_t kLooks = 12;     // engines compared for one query, however many there are
+constexpr std::size_t kDraws = 2;      // of them drawn at random
+constexpr double kOwnTimes = 6;        // gateways whose share one's own threads speak for, at most
+constexpr double kMixMemory = 10;      // s, of the threads a query runs on
 constexpr Time kTellPace = 200ms;      // between messages to the other gateways
 
 // Health.
@@ -92,6 +101,7 @@
   Time queued{};  // since when it is held here
   Time deadline{};
   bool open = true, held = false;  // held: stands in its class's queue
+  Time look_until{};               // probes made for it are awaited until then; 0: none made yet
   std::vector<Attempt> attempts;
   [[nodiscard]] bool out() const { return !attempts.empty() && attempts.back().out; }
 };
@@ -114,6 +124,7 @@
   double others = -1;  // queries of other gateways at the last report; -1: never reported
   double util = -1;
   Time reported{}, probed{};
+  std::uint64_t looked = 0;           // the last comparison it took part in
   std::map<std::int64_t, int> loads;  // own loads out, by group
   std::map<std::int64_t, Time> held;  // groups seen held by a load, until when to believe it
 };
@@ -158,7 +169,13 @@
     now_ = now;
     out_ = &out;
     if (!started_) start();
-    for (const auto& event : events) std::visit([this](const auto& e) { on(e); }, event);
+    bool only_notes = true;  // these free nothing
+    for (const auto& event : events) {
+      std::visit([this](const auto& e) { on(e); }, event);
+      only_notes = only_notes && std::holds_alternative<Note>(event);
+    }
+    if (fleet_changed_) refresh();
+    if (only_notes) return;
     fill_budgets();
     release();
   }
@@ -167,13 +184,7 @@
     return {classes_.at(c).queue.size(), classes_.at(c).running, classes_.at(c).budget};
   }
 
-  [[nodiscard]] double pool() const {
-    double sum = 0;
-    for (const auto& [id, engine] : engines_) {
-      if (engine.ready && !rested(engine)) sum += share(engine);
-    }
-    return sum;
-  }
+  [[nodiscard]] double pool() const { return pool_; }
 
  private:
   // ---- settings and start ------------------------------------------------------------------------------
@@ -223,6 +234,24 @@
       engine.entry = entry;
       engine.ready = entry.state == EngineState::ready && entry.kind < s_.kinds.size();
     }
+    fleet_changed_ = true;
+  }
+
+  // What is summed over the fleet, made anew only when the list or an engine's health has changed.
+  void refresh() {
+    fleet_changed_ = false;
+    ready_.clear();
+    homes_.clear();
+    pool_ = 0;
+    std::size_t ill = 0;
+    for (auto& [id, engine] : engines_) {
+      if (!engine.ready) continue;
+      ready_.push_back(&engine);
+      ill += engine.health != Health::well ? 1 : 0;
+      if (!rested(engine)) pool_ += share(engine);
+    }
+    // More than half of the fleet shows it: then it is no engine's own fault, and none is left out.
+    fleet_ill_ = 2 * ill > ready_.size();
   }
 
   // A process that has just begun: what was known of its health, pace and load is void.
@@ -414,6 +443,7 @@
     cls.running += set.threads;
     engine.threads += set.threads;
     ++engine.queries;
+    busy_.insert(engine.entry.engine);
     if (set.holds_group) ++engine.loads[request.asked.data_group];
     return true;
   }
@@ -442,7 +472,7 @@
     engine.out.erase({outcome.request, outcome.attempt});
     classes_[request->asked.cls].running -= set.threads;
     engine.threads -= set.threads;
-    --engine.queries;
+    if (--engine.queries == 0) busy_.erase(outcome.engine);
     if (set.holds_group && --engine.loads[request->asked.data_group] == 0)
       engine.loads.erase(request->asked.data_group);
     if (in_order(*request) && (outcome.result == Result::timed_out || outcome.result == Result::reset ||
@@ -495,6 +525,7 @@
     if (engine.health == Health::trial && ++engine.trials >= kTrials) {
       engine.health = Health::well;
       engine.rest = kFirstRest;
+      fleet_changed_ = true;
       trace(engine, "answers again");
     }
     const double took = secs(outcome.latency);
@@ -509,6 +540,7 @@
     const double measure = took / (outcome.work ? std::max(0.02, work / threads) : cls.base);
     learn_base(cls, took);
     ++engine.samples;
+    fleet_pace_ += kFleetStep * (std::clamp(measure, 0.2, 8.0) - fleet_pace_);
     const double step = std::max(kPaceStep, 1 / engine.samples);
     engine.pace += step * (std::clamp(measure, 0.2, 8.0) - engine.pace);
   }
@@ -533,6 +565,7 @@
     if (engine.health == Health::resting) return;
     if (engine.health == Health::well) trace(engine, why);
     engine.health = Health::resting;
+    fleet_changed_ = true;
     engine.rest_until = now_ + engine.rest;
     engine.rest = std::min(2 * engine.rest, kMostRest);
     engine.trials = 0;
@@ -549,16 +582,6 @@
 
   [[nodiscard]] bool rested(const Engine& engine) const { return engine.health == Health::resting; }
 
-  // More than half of the fleet shows it: then it is no engine's own fault, and none is left out.
-  [[nodiscard]] bool fleet_ill() const {
-    int ready = 0, ill = 0;
-    for (const auto& [id, engine] : engines_) {
-      ready += engine.ready ? 1 : 0;
-      ill += engine.ready && engine.health != Health::well ? 1 : 0;
-    }
-    return 2 * ill > ready;
-  }
-
   void watch_silence(Engine& engine) {
     if (engine.out.empty() || engine.health == Health::resting) return;
     const Time quiet = now_ - engine.heard;
@@ -604,7 +627,11 @@
       if (s_.load_fields[i] == LoadField::util) engine.util = load[i];
     }
     engine.reported = now_;
+    recent_.push_front({now_, &engine});
+    if (recent_.size() > kLooks) recent_.pop_back();
     engine.others = held < 0 ? -1 : std::max(0.0, held - engine.queries);
+    const double told = told_threads(engine) / cores(engine);
+    level_ = level_ < 0 ? told : level_ + kLevelStep * (told - level_);
   }
 
   void on(const ProbeResult& probe) {
@@ -636,18 +663,32 @@
     put(Tell{bytes});
   }
 
-  void probe_stale() {
-    if (!s_.may_probe || s_.load_fields.empty()) return;
-    for (auto& [id, engine] : engines_) {
-      const Time last = std::max(engine.reported, engine.probed);
-      if (probe_tokens_ < 1 || !engine.ready || now_ < last + kProbeAge) continue;
-      engine.probed = now_;
+  // Probes some of the engines that will be compared for a query, where reports of them are old; true: await
+  // them.
+  bool look(Request& request, const std::vector<Engine*>& engines) {
+    if (!s_.may_probe || s_.load_fields.empty() || now_ < request.look_until)
+      return request.look_until > now_;
+    if (request.look_until > Time::zero()) return false;
+    request.look_until = now_;
+    for (auto* engine : engines) {
+      if (probe_tokens_ < 1) break;
+      if (now_ < std::max(engine->reported, engine->probed) + kProbeAge) continue;
+      engine->probed = now_;
       probe_tokens_ -= 1;
-      put(Probe{id});
+      put(Probe{engine->entry.engine});
+      request.look_until = now_ + kProbeWait;
     }
+    return request.look_until > now_;
+  }
+
+  [[nodiscard]] double told_threads(const Engine& engine) const {
+    if (engine.others >= 0) return engine.others * mix() + engine.threads;
+    return std::max<double>(engine.threads, engine.util * kThreadsPerCore * cores(engine) * 0.8);
   }
+  [[nodiscard]] double mix() const { return mix_queries_ > 0.01 ? mix_threads_ / mix_queries_ : 1.5; }
 
-  // Threads of all gateways on an engine, if something fresh tells.
+  // Threads of all gateways on an engine, as something fresh tells; an engine that nothing fresh tells of is
+  // taken to be like the others, never as empty: all gateways would run to the engines they know least of.
   [[nodiscard]] std::optional<double> all_threads(const Engine& engine) const {
     double others = 0;
     bool told = false;
@@ -658,11 +699,11 @@
         others += at->second;
     }
     if (told) return others + engine.threads;
-    if (engine.reported == Time::zero() || now_ > engine.reported + kFresh) return std::nullopt;
-    if (engine.others >= 0) return engine.others * mix_ + engine.threads;
-    if (engine.util >= 0)
-      return std::max<double>(engine.threads, engine.util * kThreadsPerCore * cores(engine) * 0.8);
-    return std::nullopt;
+    if (level_ < 0) return std::nullopt;
+    const double usual = std::max<double>(engine.threads, level_ * cores(engine));
+    if (engine.reported == Time::zero() || now_ > engine.reported + kFresh) return usual;
+    const double weight = std::exp(-secs(now_ - engine.reported) / kReportLife);
+    return weight * told_threads(engine) + (1 - weight) * usual;
   }
 
   // ---- engine choice -----------------------------------------------------------------------------------
@@ -691,10 +732,10 @@
     return engine.health == Health::trial && engine.queries == 0 && set(request).effect == Effect::safe;
   }
 
-  [[nodiscard]] double crowding(const Request& request, const Engine& engine) const {
+  [[nodiscard]] double crowding(const Request& request, Engine& engine) {
     const auto& set = this->set(request);
     // Reports are late and every gateway reads the same: by them alone all would run to one engine at once.
-    const double own = static_cast<double>(engine.threads) * s_.gateways;
+    const double own = engine.threads * std::min<double>(s_.gateways, kOwnTimes);
     const double all = kOwnPart * own + (1 - kOwnPart) * all_threads(engine).value_or(own);
     double score = (all + set.threads) * slowness(engine) / (cores(engine) * warmth(engine, 0s));
     if (s_.price_cross_zone > 0 && engine.entry.zone != s_.zone) score += kFarZone;
@@ -708,35 +749,72 @@
   // Every gateway computes the same order of engines for a group, from ids alone: loads of a group go to its
   // first engines, and what would stand still behind them stays away, though no gateway sees the others'
   // loads.
-  [[nodiscard]] bool home(std::int64_t group, const Engine& engine) const {
+  const std::vector<Engine*>& homes(std::int64_t group) {
     const auto mix = [group](EngineId id) {
       std::uint64_t x = (static_cast<std::uint64_t>(group) << 32) + id + 0x9e3779b97f4a7c15ULL;
       x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
       x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
       return x ^ (x >> 31);
     };
-    const auto own = mix(engine.entry.engine);
-    std::size_t before = 0;
-    for (const auto& [id, other] : engines_) before += other.ready && !rested(other) && mix(id) < own ? 1 : 0;
-    return before < kHomes;
+    auto& homes = homes_[group];
+    if (homes.empty()) {
+      for (auto* engine : ready_) {
+        if (!rested(*engine)) homes.push_back(engine);
+      }
+      const auto count = std::min(homes.size(), std::max(kHomes, ready_.size() / kHomePart));
+      std::partial_sort(
+          homes.begin(), homes.begin() + static_cast<std::ptrdiff_t>(count), homes.end(),
+          [&](const Engine* a, const Engine* b) { return mix(a->entry.engine) < mix(b->entry.engine); });
+      homes.resize(count);
+    }
+    return homes;
+  }
+  [[nodiscard]] bool home(std::int64_t group, Engine& engine) {
+    const auto& all = homes(group);
+    return std::find(all.begin(), all.end(), &engine) != all.end();
   }
 
-  [[nodiscard]] double group_cost(const ClassSettings& set, std::int64_t group, const Engine& engine) const {
+  [[nodiscard]] double group_cost(const ClassSettings& set, std::int64_t group, Engine& engine) {
     const auto held = engine.held.find(group);
     const bool is_held = engine.loads.contains(group) || (held != engine.held.end() && now_ < held->second);
     return (is_held ? kHeldGroup : 0) + (set.waits_for_group && home(group, engine) ? kHomeKeepOff : 0);
   }
 
-  Engine* pick(const Request& request) {
+  // The engines to compare for a query: all of a small fleet; of a large one those of the newest reports and
+  // a few drawn at random, so that no engine draws all gateways at once and the cost doesn't grow with the
+  // fleet.
+  const std::vector<Engine*>& candidates(const Request& request) {
+    if (readers_wait_ && set(request).holds_group) return homes(request.asked.data_group);
+    if (ready_.size() <= kLooks) return ready_;
+    compared_.clear();
+    ++look_;
+    const auto add = [this](Engine* engine) {
+      if (engine->looked != look_ && engine->ready) compared_.push_back(engine);
+      engine->looked = look_;
+    };
+    for (std::size_t i = 0; i < kDraws; ++i) add(ready_[random_() % ready_.size()]);
+    if (!readers_wait_) {
+      const auto& near = homes(request.asked.data_group);
+      if (!near.empty()) add(near[random_() % near.size()]);
+    }
+    for (const auto& [at, engine] : recent_) {
+      if (now_ < at + kFresh) add(engine);
+    }
+    return compared_;
+  }
+
+  // Null: none has room now, or probes are awaited.
+  Engine* pick(Request& request) {
     Engine* best = nullptr;
     double least = 0;
-    for (auto& [id, engine] : engines_) {
-      if (!engine.ready || !healthy(request, engine) || !room(engine, set(request).threads)) continue;
-      if (!may_send(request, engine)) continue;
-      if (readers_wait_ && set(request).holds_group && !home(request.asked.data_group, engine)) continue;
-      const double score = crowding(request, engine) + 0.01 * std::generate_canonical<double, 32>(random_);
+    const auto& engines = candidates(request);
+    if (look(request, engines)) return nullptr;
+    for (auto* engine : engines) {
+      if (!healthy(request, *engine) || !room(*engine, set(request).threads)) continue;
+      if (!may_send(request, *engine)) continue;
+      const double score = crowding(request, *engine) + 0.01 * std::generate_canonical<double, 32>(random_);
       if (best == nullptr || score < least) {
-        best = &engine;
+        best = engine;
         least = score;
       }
     }
@@ -829,13 +907,12 @@
     while (!deadlines_.empty() && deadlines_.begin()->first <= now_)
       finish(requests_.at(deadlines_.begin()->second));
     drop_overdue();
-    fleet_ill_ = fleet_ill();
-    for (auto& [id, engine] : engines_) watch_silence(engine);
-    measure_pace();
-    probe_stale();
+    for (const auto id : std::vector(busy_.begin(), busy_.end())) watch_silence(engines_.at(id));
+    measure_mix(passed);
     tell_peers();
     if (now_ >= sampled_ + kPeriod) {
       sampled_ = now_;
+      measure_pace();
       sample();
     }
     forget_old();
@@ -861,17 +938,24 @@
     }
   }
 
+  void measure_mix(double passed) {
+    const double weight = std::min(1.0, passed / kMixMemory);
+    double queries = 0, threads = 0;
+    for (std::size_t c = 0; c < classes_.size(); ++c) {
+      threads += classes_[c].running;
+      queries += classes_[c].running / s_.classes[c].threads;
+    }
+    mix_queries_ += weight * (queries - mix_queries_);
+    mix_threads_ += weight * (threads - mix_threads_);
+  }
+
   void measure_pace() {
     std::vector<double> paces;
-    double queries = 0, threads = 0;
-    for (auto& [id, engine] : engines_) {
-      queries += engine.queries;
-      threads += engine.threads;
-      if (engine.ready && engine.samples >= kSlowSamples) paces.push_back(engine.pace);
+    for (const auto* engine : ready_) {
+      if (engine->samples >= kSlowSamples) paces.push_back(engine->pace);
     }
-    if (queries >= 2) mix_ += 0.02 * (threads / queries - mix_);
-    median_pace_ = 0;
-    if (paces.empty()) return;
+    median_pace_ = fleet_pace_;  // few answers from each engine: all of them together tell
+    if (2 * paces.size() < ready_.size() || paces.empty()) return;
     const auto middle = paces.begin() + static_cast<std::ptrdiff_t>(paces.size() / 2);
     std::nth_element(paces.begin(), middle, paces.end());
     median_pace_ = *middle;
@@ -912,8 +996,15 @@
   std::vector<double> tokens_;
   double arrival_rate_ = 0, fresh_arrivals_ = 0, probe_tokens_ = 0;
   bool started_ = false, fleet_ill_ = false, readers_wait_ = false;
-  double mix_ = 1.5;                   // threads a query, of those out
-  double median_pace_ = 0, ease_ = 1;  // ease: what the crowd limits are multiplied with
+  std::vector<Engine*> ready_, compared_;  // in the order of their ids; of the last choice
+  std::set<EngineId> busy_;                // with a query of this gateway out
+  std::map<std::int64_t, std::vector<Engine*>> homes_;
+  std::deque<std::pair<Time, Engine*>> recent_;  // newest reports
+  std::uint64_t look_ = 0;
+  bool fleet_changed_ = false;
+  double pool_ = 0, level_ = -1, fleet_pace_ = 1;  // level: threads a core, from reports; -1: none yet
+  double mix_queries_ = 0, mix_threads_ = 0;       // out on the whole, of late
+  double median_pace_ = 0, ease_ = 1;              // ease: what the crowd limits are multiplied with
   Time now_{}, sampled_{}, ticked_{}, told_{}, asked_again_{};
   std::vector<Action>* out_ = nullptr;
 };
