--- a/include/heronwell/gateway.hpp
+++ b/include/heronwell/gateway.hpp
@@ -199,8 +199,9 @@
 struct Probe {
   EngineId engine = 0;
 };
-struct Tell {  // to all other gateways
-  std::string bytes;
+struct Tell {
+  std::optional<std::uint32_t> to;  // a gateway's number; none: all others
+  std::string bytes;                // 256 at most
 };
 struct Observe {
   bool on = true;
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -1,7 +1,6 @@
 // All decisions of heronwell. The interface (settings, events, actions) is include/heronwell/gateway.hpp.
 #include <algorithm>
 #include <cmath>
-#include <cstring>
 #include <deque>
 #include <map>
 #include <random>
@@ -61,6 +60,12 @@
 constexpr double kOwnTimes = 6;        // gateways whose share one's own threads speak for, at most
 constexpr double kMixMemory = 10;      // s, of the threads a query runs on
 constexpr Time kTellPace = 200ms;      // between messages to the other gateways
+constexpr unsigned kTellAll = 10;   // gateways up to which each tells all others; above, reports go to a few
+constexpr double kTellBytes = 150;  // of these reports, a query
+constexpr double kPeerStep = 0.03;  // weight of one gateway's threads in the fleet's level
+constexpr double kApart = 0.5;
+constexpr double kCrowdAtFull = 4;      // threads a core of an engine that turned a query away, at the least
+constexpr double kThreadsAtFull = 1.6;  // threads a core that "all cores busy" stands for
 
 // Health.
 constexpr double kErrorStep = 0.25;  // weight of one outcome in an engine's error share
@@ -121,8 +126,7 @@
   Time heard{}, full_until{};
   Time cold_since{};  // 0: warm
   std::deque<std::pair<Time, double>> cold_sends;
-  double others = -1;  // queries of other gateways at the last report; -1: never reported
-  double util = -1;
+  double others = 0;  // threads of other gateways at the last report
   Time reported{}, probed{};
   std::uint64_t looked = 0;           // the last comparison it took part in
   std::map<std::int64_t, int> loads;  // own loads out, by group
@@ -242,11 +246,12 @@
     fleet_changed_ = false;
     ready_.clear();
     homes_.clear();
-    pool_ = 0;
+    pool_ = cores_ = 0;
     std::size_t ill = 0;
     for (auto& [id, engine] : engines_) {
       if (!engine.ready) continue;
       ready_.push_back(&engine);
+      cores_ += cores(engine);
       ill += engine.health != Health::well ? 1 : 0;
       if (!rested(engine)) pool_ += share(engine);
     }
@@ -283,6 +288,7 @@
   void on(const Arrival& asked) {
     taken_.push_back(now_);
     ++fresh_arrivals_;
+    tell_bytes_ = std::min(tell_bytes_ + kTellBytes, 4 * kTellBytes);
     probe_tokens_ = std::min(probe_tokens_ + kProbesPerQuery, 20.0);
     auto& request = requests_[asked.request];
     request.asked = asked;
@@ -503,6 +509,7 @@
       case Result::turned_away:
         engine.heard = now_;
         engine.full_until = now_ + kFullPause;
+        take_report(engine, kCrowdAtFull * cores(engine), now_);
         return;
       case Result::timed_out:
         if (engine.health == Health::trial) rest(engine, "is silent");
@@ -621,17 +628,23 @@
   // ---- what is known of an engine's load -----------------------------------------------------------------
   void take_load(Engine& engine, const std::vector<double>& load) {
     if (load.empty() || load.size() > s_.load_fields.size()) return;
-    double held = -1;
+    double threads = -1;
     for (std::size_t i = 0; i < load.size(); ++i) {
-      if (s_.load_fields[i] == LoadField::inflight) held = std::max(held, 0.0) + load[i];
-      if (s_.load_fields[i] == LoadField::util) engine.util = load[i];
+      if (s_.load_fields[i] == LoadField::inflight)
+        threads = std::max(0.0, load[i] - engine.queries) * mix() + engine.threads;
+      if (s_.load_fields[i] == LoadField::util && threads < 0)
+        threads = load[i] * kThreadsAtFull * cores(engine);
     }
-    engine.reported = now_;
-    recent_.push_front({now_, &engine});
+    if (threads >= 0) take_report(engine, threads, now_);
+  }
+
+  void take_report(Engine& engine, double threads, Time at) {
+    engine.reported = at;
+    engine.others = std::max(0.0, threads - engine.threads);
+    recent_.push_front({at, &engine});
     if (recent_.size() > kLooks) recent_.pop_back();
-    engine.others = held < 0 ? -1 : std::max(0.0, held - engine.queries);
-    const double told = told_threads(engine) / cores(engine);
-    level_ = level_ < 0 ? told : level_ + kLevelStep * (told - level_);
+    const double told = threads / cores(engine);
+    told_level_ = told_level_ < 0 ? told : told_level_ + kLevelStep * (told - told_level_);
   }
 
   void on(const ProbeResult& probe) {
@@ -639,28 +652,68 @@
     if (at != engines_.end() && probe.result == Result::served) take_load(at->second, probe.load);
   }
 
+  // Messages to other gateways, numbers with their low byte first. Few gateways: 'o', then for each engine
+  // its id (4 bytes) and own threads there (1), to all. Many: 'r', own threads in all (2), then of the newest
+  // reports the engine (4), its threads a core in 32nds (1) and the report's age in ticks (1), to some drawn
+  // at random: what a query costs in bytes doesn't grow with the gateways. One that is not of these lengths
+  // is ignored whole.
   void on(const PeerMessage& message) {
-    auto& peer = peers_[message.from];
-    peer.first = now_;
-    peer.second.clear();
-    for (std::size_t i = 0; i + 5 <= message.bytes.size(); i += 5) {
-      EngineId id = 0;
-      std::memcpy(&id, message.bytes.data() + i, 4);
-      peer.second[id] = static_cast<unsigned char>(message.bytes[i + 4]);
+    const auto& bytes = message.bytes;
+    const auto number = [&bytes](std::size_t at, std::size_t size) {
+      std::uint32_t value = 0;
+      while (size-- > 0) value = value << 8 | static_cast<unsigned char>(bytes[at + size]);
+      return value;
+    };
+    if (!bytes.empty() && bytes[0] == 'o' && bytes.size() % 5 == 1) {
+      auto& peer = peers_[message.from];
+      peer.first = now_;
+      peer.second.clear();
+      for (std::size_t i = 1; i < bytes.size(); i += 5) peer.second[number(i, 4)] = number(i + 4, 1);
+    } else if (!bytes.empty() && bytes[0] == 'r' && bytes.size() % 6 == 3) {
+      const double level = number(1, 2) * s_.gateways / std::max(1.0, cores_);
+      level_ = level_ < 0 ? level : level_ + kPeerStep * (level - level_);
+      for (std::size_t i = 3; i < bytes.size(); i += 6) {
+        const auto at = engines_.find(number(i, 4));
+        const Time told = now_ - number(i + 5, 1) * kTick;
+        if (at != engines_.end() && at->second.ready && told > at->second.reported)
+          take_report(at->second, number(i + 4, 1) / 32.0 * cores(at->second), told);
+      }
     }
   }
 
   void tell_peers() {
-    if (!s_.may_tell || now_ < told_ + kTellPace) return;
+    if (!s_.may_tell || s_.gateways < 2 || now_ < told_ + kTellPace) return;
     told_ = now_;
     std::string bytes;
-    for (const auto& [id, engine] : engines_) {
-      if (engine.threads == 0 || bytes.size() + 5 > 256) continue;
-      char raw[4];
-      std::memcpy(raw, &id, 4);
-      bytes.append(raw, 4).push_back(static_cast<char>(std::min(engine.threads, 255U)));
+    const auto add = [&bytes](double value, int size) {
+      auto whole = static_cast<std::uint32_t>(value);
+      for (; size > 0; --size, whole >>= 8) bytes.push_back(static_cast<char>(whole & 0xff));
+    };
+    if (s_.gateways <= kTellAll) {
+      bytes = "o";
+      for (const auto id : busy_) {
+        if (bytes.size() + 5 > 256) break;
+        add(id, 4);
+        add(std::min(engines_.at(id).threads, 255U), 1);
+      }
+      return put(Tell{std::nullopt, bytes});
+    }
+    bytes = "r";
+    unsigned own = 0;
+    for (const auto& cls : classes_) own += cls.running;
+    add(own, 2);
+    for (const auto& [at, engine] : recent_) {
+      const auto age = (now_ - at) / kTick;
+      if (age > 255 || engine->reported != at) continue;
+      add(engine->entry.engine, 4);
+      add(std::clamp((engine->others + engine->threads) / cores(*engine) * 32, 0.0, 255.0), 1);
+      add(static_cast<double>(age), 1);
+    }
+    const auto size = static_cast<double>(bytes.size());
+    for (; tell_bytes_ >= size; tell_bytes_ -= size) {
+      const auto to = static_cast<std::uint32_t>(random_() % (s_.gateways - 1));
+      put(Tell{to < s_.me ? to : to + 1, bytes});
     }
-    put(Tell{bytes});
   }
 
   // Probes some of the engines that will be compared for a query, where reports of them are old; true: await
@@ -681,10 +734,6 @@
     return request.look_until > now_;
   }
 
-  [[nodiscard]] double told_threads(const Engine& engine) const {
-    if (engine.others >= 0) return engine.others * mix() + engine.threads;
-    return std::max<double>(engine.threads, engine.util * kThreadsPerCore * cores(engine) * 0.8);
-  }
   [[nodiscard]] double mix() const { return mix_queries_ > 0.01 ? mix_threads_ / mix_queries_ : 1.5; }
 
   // Threads of all gateways on an engine, as something fresh tells; an engine that nothing fresh tells of is
@@ -699,11 +748,16 @@
         others += at->second;
     }
     if (told) return others + engine.threads;
-    if (level_ < 0) return std::nullopt;
-    const double usual = std::max<double>(engine.threads, level_ * cores(engine));
+    const double level = level_ < 0 ? told_level_ : level_;
+    if (level < 0) return std::nullopt;
+    const double usual = std::max<double>(engine.threads, level * cores(engine));
     if (engine.reported == Time::zero() || now_ > engine.reported + kFresh) return usual;
     const double weight = std::exp(-secs(now_ - engine.reported) / kReportLife);
-    return weight * told_threads(engine) + (1 - weight) * usual;
+    if (level_ < 0) return weight * (engine.others + engine.threads) + (1 - weight) * usual;
+    // Reports that end at "all busy", and fall when disks jam, only tell engines apart round the level that
+    // the gateways' own threads add up to.
+    const double apart = kApart * weight * (engine.others / cores(engine) - told_level_);
+    return std::max<double>(engine.threads, usual + apart * cores(engine));
   }
 
   // ---- engine choice -----------------------------------------------------------------------------------
@@ -912,6 +966,12 @@
     tell_peers();
     if (now_ >= sampled_ + kPeriod) {
       sampled_ = now_;
+      if (s_.me % 40 == 3)
+        put(Trace{"DBG level " + std::to_string(level_) + " told " + std::to_string(told_level_) + " pace " +
+                  std::to_string(fleet_pace_) + " mix " + std::to_string(mix()) + " run " +
+                  std::to_string(classes_[0].running) + "/" + std::to_string(classes_[1].running) + " q " +
+                  std::to_string(classes_[0].queue.size()) + "/" + std::to_string(classes_[1].queue.size()) +
+                  " recent " + std::to_string(recent_.size()) + " bytes " + std::to_string(tell_bytes_)});
       measure_pace();
       sample();
     }
@@ -1002,9 +1062,12 @@
   std::deque<std::pair<Time, Engine*>> recent_;  // newest reports
   std::uint64_t look_ = 0;
   bool fleet_changed_ = false;
-  double pool_ = 0, level_ = -1, fleet_pace_ = 1;  // level: threads a core, from reports; -1: none yet
-  double mix_queries_ = 0, mix_threads_ = 0;       // out on the whole, of late
-  double median_pace_ = 0, ease_ = 1;              // ease: what the crowd limits are multiplied with
+  double pool_ = 0, cores_ = 0, fleet_pace_ = 1;
+  double level_ = -1,
+         told_level_ = -1;  // threads a core, from gateways' own threads and from reports; -1: none
+  double tell_bytes_ = 0;
+  double mix_queries_ = 0, mix_threads_ = 0;  // out on the whole, of late
+  double median_pace_ = 0, ease_ = 1;         // ease: what the crowd limits are multiplied with
   Time now_{}, sampled_{}, ticked_{}, told_{}, asked_again_{};
   std::vector<Action>* out_ = nullptr;
 };
--- a/src/wire.cpp
+++ b/src/wire.cpp
@@ -411,7 +411,7 @@
   }
   void operator()(const Tell& a) const {
     code(10);
-    put(out, std::numeric_limits<std::uint32_t>::max());
+    put(out, a.to.value_or(std::numeric_limits<std::uint32_t>::max()));
     put_text(out, a.bytes);
   }
   void operator()(const Observe& a) const {
