--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -84,6 +84,10 @@
 
 // Cold starts: a part of this gateway's even share, as the other gateways' traffic is not seen.
 constexpr double kColdPart = 0.9;
+constexpr double kTurnPart = 0.5;       // of what tips it over, for turns of all gateways together
+constexpr double kColdLevel = 0.5;      // of the fleet's level, that turns are taken to bring an engine to
+constexpr Time kTurn = 1s;              // how long a turn can be used
+constexpr double kTurnStep = 0.1;       // s; time without a call of its own brings a gateway no turns
 constexpr double kFullCapacity = 0.85;  // core-seconds a second for each core: what "capacity" stands for
 constexpr double kFirstWork = 0.5;      // of aim x threads: a class's work before any answer
 
@@ -125,6 +129,8 @@
   double pace = 1, samples = 0;  // answer time against the class's usual one; answers it rests on
   Time heard{}, full_until{};
   Time cold_since{};  // 0: warm
+  Time turn_until{};  // while cold: this gateway's turn, and core-seconds left of it
+  double turn_left = 0;
   std::deque<std::pair<Time, double>> cold_sends;
   double others = 0;  // threads of other gateways at the last report
   Time reported{}, probed{};
@@ -419,18 +425,47 @@
            std::floor(budget.free + budget.ratio * static_cast<double>(taken_.size()));
   }
 
-  // Within any window, a part of this gateway's even share of what tips a cold engine over.
+  // What all gateways may send a cold engine in a second, of the work that tips it over; core-seconds.
+  [[nodiscard]] double cold_rate(const Engine& engine) const {
+    return s_.tip_multiple * warmth(engine, s_.tip_window) * kFullCapacity * cores(engine);
+  }
+
+  // Within any window, a part of this gateway's even share of what tips a cold engine over. Where that share
+  // holds no query, this gateway has turns at moments drawn from its seed, so many that all gateways together
+  // stay under a part of the whole; a turn not used is lost, as all might use what they have saved at once.
   [[nodiscard]] bool cold_room(const Request& request, Engine& engine) const {
     if (s_.tip_multiple <= 0 || !cold(engine)) return true;
     while (!engine.cold_sends.empty() && engine.cold_sends.front().first < now_ - s_.tip_window)
       engine.cold_sends.pop_front();
-    double sum = classes_[request.asked.cls].work;
-    for (const auto& [at, work] : engine.cold_sends) sum += work;
-    const double most = kColdPart * s_.tip_multiple * warmth(engine, s_.tip_window) * kFullCapacity *
-                        cores(engine) * secs(s_.tip_window) / s_.gateways;
+    const double work = classes_[request.asked.cls].work;
+    if (small_share(engine)) return now_ < engine.turn_until && work <= engine.turn_left;
+    double sum = work;
+    for (const auto& [at, sent] : engine.cold_sends) sum += sent;
+    const double most = kColdPart * cold_rate(engine) * secs(s_.tip_window) / s_.gateways;
     return sum <= most || (engine.cold_sends.empty() && sum <= 2 * most);
   }
 
+  [[nodiscard]] double heaviest() const {
+    double most = 0;
+    for (const auto& cls : classes_) most = std::max(most, cls.work);
+    return most;
+  }
+  [[nodiscard]] bool small_share(const Engine& engine) const {
+    return kColdPart * cold_rate(engine) * secs(s_.tip_window) < heaviest() * s_.gateways;
+  }
+
+  void draw_turns(double passed) {
+    for (auto* engine : ready_) {
+      if (s_.tip_multiple <= 0 || !cold(*engine) || !small_share(*engine)) continue;
+      const double turns =
+          kTurnPart * cold_rate(*engine) * std::min(passed, kTurnStep) / s_.gateways / heaviest();
+      if (std::generate_canonical<double, 32>(random_) >= turns) continue;
+      engine->turn_until = now_ + kTurn;
+      engine->turn_left = heaviest();
+      invited_.push_back(engine);
+    }
+  }
+
   // The only place that sends.
   bool transmit(Request& request, Engine& engine) {
     if (!may_send(request, engine)) return false;
@@ -442,6 +477,7 @@
     if (s_.grants || s_.priorities) put(Terms{request.asked.request, kGrant * cls.memory, priority(request)});
     put(Send{request.asked.request, engine.entry.engine, time_out(request, engine)});
     if (cold(engine)) engine.cold_sends.push_back({now_, cls.work});
+    engine.turn_left -= cls.work;
     if (engine.out.empty()) engine.heard = now_;
     engine.out.insert({request.asked.request, static_cast<AttemptIndex>(request.attempts.size())});
     request.attempts.push_back({engine.entry.engine, now_});
@@ -750,7 +786,9 @@
     if (told) return others + engine.threads;
     const double level = level_ < 0 ? told_level_ : level_;
     if (level < 0) return std::nullopt;
-    const double usual = std::max<double>(engine.threads, level * cores(engine));
+    // A cold engine is filled by turns, under the fleet's level.
+    const double usual = std::max<double>(
+        engine.threads, (cold(engine) ? kColdLevel : 1) * level * cores(engine) * warmth(engine, 0s));
     if (engine.reported == Time::zero() || now_ > engine.reported + kFresh) return usual;
     const double weight = std::exp(-secs(now_ - engine.reported) / kReportLife);
     if (level_ < 0) return weight * (engine.others + engine.threads) + (1 - weight) * usual;
@@ -769,6 +807,7 @@
 
   // Room within this gateway's share of the engine, or past it while the engine answers at its usual speed.
   [[nodiscard]] bool room(const Engine& engine, unsigned threads) const {
+    if (cold(engine) && small_share(engine)) return true;  // its turns are fewer than its room
     const double size = cores(engine) * warmth(engine, 0s) / slowness(engine);
     const auto all = all_threads(engine);
     const double own = engine.threads + 0.5 * threads;
@@ -846,6 +885,8 @@
       if (engine->looked != look_ && engine->ready) compared_.push_back(engine);
       engine->looked = look_;
     };
+    std::erase_if(invited_, [this](const Engine* engine) { return now_ >= engine->turn_until; });
+    for (auto* engine : invited_) add(engine);
     for (std::size_t i = 0; i < kDraws; ++i) add(ready_[random_() % ready_.size()]);
     if (!readers_wait_) {
       const auto& near = homes(request.asked.data_group);
@@ -963,6 +1004,7 @@
     drop_overdue();
     for (const auto id : std::vector(busy_.begin(), busy_.end())) watch_silence(engines_.at(id));
     measure_mix(passed);
+    draw_turns(passed);
     tell_peers();
     if (now_ >= sampled_ + kPeriod) {
       sampled_ = now_;
@@ -1056,8 +1098,8 @@
   std::vector<double> tokens_;
   double arrival_rate_ = 0, fresh_arrivals_ = 0, probe_tokens_ = 0;
   bool started_ = false, fleet_ill_ = false, readers_wait_ = false;
-  std::vector<Engine*> ready_, compared_;  // in the order of their ids; of the last choice
-  std::set<EngineId> busy_;                // with a query of this gateway out
+  std::vector<Engine*> ready_, compared_, invited_;  // in the order of their ids; of the last choice
+  std::set<EngineId> busy_;                          // with a query of this gateway out
   std::map<std::int64_t, std::vector<Engine*>> homes_;
   std::deque<std::pair<Time, Engine*>> recent_;  // newest reports
   std::uint64_t look_ = 0;
