--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -31,10 +31,12 @@
 constexpr double kRateMemory = 20.0;     // s, of the arrival rate that shares are measured against
 
 // Engine choice.
-constexpr double kPassCrowd = 1.5;  // threads a core, all gateways: passing the pool stops here
-constexpr double kTopCrowd = 2.2;   // threads a core, all gateways: even the pool's share is held back
-constexpr double kJamPace = 1.5;    // median pace that tells the fleet is past its peak
-constexpr double kLeastEase = 0.5;  // of the crowd limits, at the least
+constexpr double kPassCrowd = 1.5;    // threads a core, all gateways: passing the pool stops here
+constexpr double kTopCrowd = 2.2;     // threads a core, all gateways: even the pool's share is held back
+constexpr double kLaterRanks = 0.85;  // of both, for all but the first class: budgets fill by rank only here,
+                                      // this keeps room for the first class of the other gateways
+constexpr double kJamPace = 1.5;      // median pace that tells the fleet is past its peak
+constexpr double kLeastEase = 0.5;    // of the crowd limits, at the least
 constexpr double kEaseDown = 0.85, kEaseUp = 0.05;  // a period
 constexpr double kUsualSpeed = 1.5;   // answer time against the usual: up to here an engine is at usual speed
 constexpr double kSlow = 2.2;         // pace against the fleet's median: an engine is slow from here
@@ -806,15 +808,17 @@
   }
 
   // Room within this gateway's share of the engine, or past it while the engine answers at its usual speed.
-  [[nodiscard]] bool room(const Engine& engine, unsigned threads) const {
+  [[nodiscard]] bool room(const Engine& engine, ClassIndex c) const {
+    const unsigned threads = s_.classes[c].threads;
+    const double ease = ease_ * (c == rank_.front() ? 1 : kLaterRanks);
     if (cold(engine) && small_share(engine)) return true;  // its turns are fewer than its room
     const double size = cores(engine) * warmth(engine, 0s) / slowness(engine);
     const auto all = all_threads(engine);
     const double own = engine.threads + 0.5 * threads;
-    if (all && *all + 0.5 * threads > kTopCrowd * ease_ * size) return false;
+    if (all && *all + 0.5 * threads > kTopCrowd * ease * size) return false;
     if (own <= kThreadsPerCore * size / s_.gateways || engine.threads == 0) return true;
     if (cold(engine) || slowness(engine) > 1 || own > kThreadsPerCore * size) return false;
-    if (all) return *all + 0.5 * threads <= kPassCrowd * ease_ * size;
+    if (all) return *all + 0.5 * threads <= kPassCrowd * ease * size;
     return engine.pace <= kUsualSpeed * std::max(1.0, std::min(median_pace_, 1.2));
   }
 
@@ -905,7 +909,7 @@
     const auto& engines = candidates(request);
     if (look(request, engines)) return nullptr;
     for (auto* engine : engines) {
-      if (!healthy(request, *engine) || !room(*engine, set(request).threads)) continue;
+      if (!healthy(request, *engine) || !room(*engine, request.asked.cls)) continue;
       if (!may_send(request, *engine)) continue;
       const double score = crowding(request, *engine) + 0.01 * std::generate_canonical<double, 32>(random_);
       if (best == nullptr || score < least) {
