--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -28,7 +28,10 @@
 constexpr double kHoldShare = 0.4;       // of the latency aim: held longer, an answer would come too late
 constexpr double kOverShareSlack = 1.3;  // a tenant may take this many times its share before it waits last
 constexpr double kShareBurst = 2.0;      // seconds of its share a tenant may save up
+constexpr double kShareLeast = 3;        // queries on top: a quiet gateway's come in clumps
 constexpr double kRateMemory = 20.0;     // s, of the arrival rate that shares are measured against
+constexpr double kRateLearn = 5.0;       // s after the start in which it is learnt as it comes
+constexpr double kRateGrowth = 1.3;      // times the usual rate that later moments count for at most
 
 // Engine choice.
 constexpr double kPassCrowd = 1.5;    // threads a core, all gateways: passing the pool stops here
@@ -60,7 +63,8 @@
 constexpr std::size_t kLooks = 12;     // engines compared for one query, however many there are
 constexpr std::size_t kDraws = 2;      // of them drawn at random
 constexpr double kOwnTimes = 6;        // gateways whose share one's own threads speak for, at most
-constexpr double kMixMemory = 10;      // s, of the threads a query runs on
+constexpr double kMixMemory = 20;      // s, of the threads a query runs on
+constexpr double kMixPrior = 1;        // queries out that the classes' average counts as
 constexpr Time kTellPace = 200ms;      // between messages to the other gateways
 constexpr unsigned kTellAll = 10;   // gateways up to which each tells all others; above, reports go to a few
 constexpr double kTellBytes = 150;  // of these reports, a query
@@ -305,7 +309,8 @@
     deadlines_.insert({request.deadline - kAnswerEarly, asked.request});
     if (asked.cls >= classes_.size()) return finish(request);
     if (in_order(request)) turns_[asked.order_key].push_back(asked.request);
-    if (over_share(asked) && !classes_[asked.cls].queue.empty()) return finish(request);
+    if (over_share(asked) && (!classes_[asked.cls].queue.empty() || level() > kPassCrowd * ease_))
+      return finish(request);
     hold(request, false);
   }
 
@@ -772,7 +777,16 @@
     return request.look_until > now_;
   }
 
-  [[nodiscard]] double mix() const { return mix_queries_ > 0.01 ? mix_threads_ / mix_queries_ : 1.5; }
+  // Threads a query; a quiet gateway has seen few and leans on what the classes have on average.
+  [[nodiscard]] double mix() const {
+    double all = 0;
+    for (const auto& set : s_.classes) all += set.threads;
+    return (mix_threads_ + kMixPrior * all / static_cast<double>(s_.classes.size())) /
+           (mix_queries_ + kMixPrior);
+  }
+
+  // Of the fleet, threads a core; below 0: nothing has told yet.
+  [[nodiscard]] double level() const { return level_ < 0 ? told_level_ : level_; }
 
   // Threads of all gateways on an engine, as something fresh tells; an engine that nothing fresh tells of is
   // taken to be like the others, never as empty: all gateways would run to the engines they know least of.
@@ -786,7 +800,7 @@
         others += at->second;
     }
     if (told) return others + engine.threads;
-    const double level = level_ < 0 ? told_level_ : level_;
+    const double level = this->level();
     if (level < 0) return std::nullopt;
     // A cold engine is filled by turns, under the fleet's level.
     const double usual = std::max<double>(
@@ -1002,7 +1016,7 @@
       asked_again_ = Time::zero();
       put(Observe{true});
     }
-    measure_rates(passed);
+    fill_tokens(passed);
     while (!deadlines_.empty() && deadlines_.begin()->first <= now_)
       finish(requests_.at(deadlines_.begin()->second));
     drop_overdue();
@@ -1011,6 +1025,7 @@
     draw_turns(passed);
     tell_peers();
     if (now_ >= sampled_ + kPeriod) {
+      measure_rates(secs(now_ - sampled_));
       sampled_ = now_;
       if (s_.me % 40 == 3)
         put(Trace{"DBG level " + std::to_string(level_) + " told " + std::to_string(told_level_) + " pace " +
@@ -1072,12 +1087,20 @@
     return kOverShareSlack * s_.tenants[t].share * arrival_rate_;
   }
 
+  // A flood must not raise the share that it is measured against: past the first seconds the usual rate grows
+  // slowly, however much arrives.
   void measure_rates(double passed) {
     if (passed <= 0) return;
-    arrival_rate_ += std::min(1.0, passed / kRateMemory) * (fresh_arrivals_ / passed - arrival_rate_);
+    rate_age_ = std::min(rate_age_ + passed, kRateMemory);
+    double rate = fresh_arrivals_ / passed;
+    if (rate_age_ > kRateLearn) rate = std::min(rate, kRateGrowth * arrival_rate_ + 1 / passed);
+    arrival_rate_ += std::min(1.0, passed / rate_age_) * (rate - arrival_rate_);
     fresh_arrivals_ = 0;
+  }
+
+  void fill_tokens(double passed) {
     for (std::size_t t = 0; t < tokens_.size(); ++t)
-      tokens_[t] = std::min(tokens_[t] + share_rate(t) * passed, share_rate(t) * kShareBurst + 1);
+      tokens_[t] = std::min(tokens_[t] + share_rate(t) * passed, share_rate(t) * kShareBurst + kShareLeast);
   }
 
   // A flood by one tenant takes nothing from the others: past its share it is refused once queries wait.
@@ -1100,7 +1123,7 @@
   std::deque<Time> taken_, further_;
   std::map<std::uint32_t, std::pair<Time, std::map<EngineId, unsigned>>> peers_;
   std::vector<double> tokens_;
-  double arrival_rate_ = 0, fresh_arrivals_ = 0, probe_tokens_ = 0;
+  double rate_age_ = 0, arrival_rate_ = 0, fresh_arrivals_ = 0, probe_tokens_ = 0;
   bool started_ = false, fleet_ill_ = false, readers_wait_ = false;
   std::vector<Engine*> ready_, compared_, invited_;  // in the order of their ids; of the last choice
   std::set<EngineId> busy_;                          // with a query of this gateway out
