--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -309,8 +309,7 @@
     deadlines_.insert({request.deadline - kAnswerEarly, asked.request});
     if (asked.cls >= classes_.size()) return finish(request);
     if (in_order(request)) turns_[asked.order_key].push_back(asked.request);
-    if (over_share(asked) && (!classes_[asked.cls].queue.empty() || level() > kPassCrowd * ease_))
-      return finish(request);
+    if (over_share(asked) && (!classes_[asked.cls].queue.empty() || crowded())) return finish(request);
     hold(request, false);
   }
 
@@ -785,6 +784,7 @@
            (mix_queries_ + kMixPrior);
   }
 
+  [[nodiscard]] bool crowded() const { return level() > kPassCrowd * ease_; }
   // Of the fleet, threads a core; below 0: nothing has told yet.
   [[nodiscard]] double level() const { return level_ < 0 ? told_level_ : level_; }
 
@@ -1084,7 +1084,7 @@
 
   // ---- tenants -------------------------------------------------------------------------------------------
   [[nodiscard]] double share_rate(std::size_t t) const {
-    return kOverShareSlack * s_.tenants[t].share * arrival_rate_;
+    return (crowded() ? 1 : kOverShareSlack) * s_.tenants[t].share * arrival_rate_;
   }
 
   // A flood must not raise the share that it is measured against: past the first seconds the usual rate grows
@@ -1093,7 +1093,8 @@
     if (passed <= 0) return;
     rate_age_ = std::min(rate_age_ + passed, kRateMemory);
     double rate = fresh_arrivals_ / passed;
-    if (rate_age_ > kRateLearn) rate = std::min(rate, kRateGrowth * arrival_rate_ + 1 / passed);
+    if (rate_age_ > kRateLearn)
+      rate = std::min(rate, (crowded() ? 1 : kRateGrowth) * arrival_rate_ + (crowded() ? 0 : 1 / passed));
     arrival_rate_ += std::min(1.0, passed / rate_age_) * (rate - arrival_rate_);
     fresh_arrivals_ = 0;
   }
