--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -45,7 +45,7 @@
 constexpr double kSlow = 2.2;         // pace against the fleet's median: an engine is slow from here
 constexpr double kSlowSamples = 8;    // answers before a pace is believed
 constexpr double kPaceStep = 0.1;     // weight of one answer in an engine's pace
-constexpr double kLevelStep = 0.1;    // weight of one report in the fleet's level, threads a core
+constexpr double kLevelStep = 0.25;   // weight of one report in the fleet's level, threads a core
 constexpr double kFleetStep = 0.04;   // weight of one answer in the fleet's pace
 constexpr double kOwnPart = 0.25;     // of an engine's load as judged: own threads times gateways
 constexpr double kFarZone = 0.1;      // threads a core that another zone must be emptier by
@@ -60,6 +60,7 @@
 constexpr Time kProbeAge = 300ms;     // a report older than this is worth a probe
 constexpr Time kProbeWait = 40ms;     // a query waits this long for the probes made for it
 constexpr double kProbesPerQuery = 1;  // at most
+constexpr double kProbesHeavy = 4;     // for one heavy query; others leave so many to the next heavy one
 constexpr std::size_t kLooks = 12;     // engines compared for one query, however many there are
 constexpr std::size_t kDraws = 2;      // of them drawn at random
 constexpr double kOwnTimes = 6;        // gateways whose share one's own threads speak for, at most
@@ -558,8 +559,10 @@
         return;
       case Result::not_connected:
         engine.down = true;
+        engine.cold_since = now_;
         return rest(engine, "takes no connections");
       case Result::reset:
+        engine.cold_since = now_;  // its process may have ended, and begin anew before any list tells
         return judge_failed(engine, 2 * kErrorStep);
       default:
         return;
@@ -615,7 +618,7 @@
     if (engine.health == Health::well) trace(engine, why);
     engine.health = Health::resting;
     fleet_changed_ = true;
-    engine.rest_until = now_ + engine.rest;
+    engine.rest_until = now_ + span(secs(engine.rest) * (0.5 + std::generate_canonical<double, 32>(random_)));
     engine.rest = std::min(2 * engine.rest, kMostRest);
     engine.trials = 0;
     for (const auto& [id, n] : std::vector(engine.out.begin(), engine.out.end())) rescue(id);
@@ -765,8 +768,10 @@
       return request.look_until > now_;
     if (request.look_until > Time::zero()) return false;
     request.look_until = now_;
+    const bool heavy = 2 * classes_[request.asked.cls].work > heaviest();
+    double left = heavy ? kProbesHeavy : 1;
     for (auto* engine : engines) {
-      if (probe_tokens_ < 1) break;
+      if (--left < 0 || probe_tokens_ < (heavy ? 1 : kProbesHeavy)) break;
       if (now_ < std::max(engine->reported, engine->probed) + kProbeAge) continue;
       engine->probed = now_;
       probe_tokens_ -= 1;
@@ -1027,12 +1032,20 @@
     if (now_ >= sampled_ + kPeriod) {
       measure_rates(secs(now_ - sampled_));
       sampled_ = now_;
-      if (s_.me % 40 == 3)
-        put(Trace{"DBG level " + std::to_string(level_) + " told " + std::to_string(told_level_) + " pace " +
-                  std::to_string(fleet_pace_) + " mix " + std::to_string(mix()) + " run " +
-                  std::to_string(classes_[0].running) + "/" + std::to_string(classes_[1].running) + " q " +
-                  std::to_string(classes_[0].queue.size()) + "/" + std::to_string(classes_[1].queue.size()) +
-                  " recent " + std::to_string(recent_.size()) + " bytes " + std::to_string(tell_bytes_)});
+      if (s_.me == 3) {  // DBG
+        std::string t =
+            "DBG l " + std::to_string(level()).substr(0, 4) + " ease " + std::to_string(ease_).substr(0, 4) +
+            " pace " + std::to_string(fleet_pace_).substr(0, 4) + " mix " +
+            std::to_string(mix()).substr(0, 4) + " q " + std::to_string(classes_[0].queue.size()) + "/" +
+            std::to_string(classes_[1].queue.size()) + " ill " + std::to_string(fleet_ill_);
+        for (auto* e : ready_)
+          t += " " + std::to_string(int(now_ > e->reported + kFresh ? -1 : e->others)) +
+               (cold(*e) ? "c" : "") +
+               (e->health == Health::well      ? ""
+                : e->health == Health::resting ? "R"
+                                               : "T");
+        put(Trace{t});
+      }
       measure_pace();
       sample();
     }
