--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -34,12 +34,13 @@
 constexpr double kRateGrowth = 1.3;      // times the usual rate that later moments count for at most
 
 // Engine choice.
-constexpr double kPassCrowd = 1.5;    // threads a core, all gateways: passing the pool stops here
-constexpr double kTopCrowd = 2.2;     // threads a core, all gateways: even the pool's share is held back
-constexpr double kLaterRanks = 0.85;  // of both, for all but the first class: budgets fill by rank only here,
-                                      // this keeps room for the first class of the other gateways
-constexpr double kJamPace = 1.5;      // median pace that tells the fleet is past its peak
-constexpr double kLeastEase = 0.5;    // of the crowd limits, at the least
+constexpr double kPassCrowd = 1.5;   // threads a core, all gateways: passing the pool stops here
+constexpr double kTopCrowd = 2.2;    // threads a core, all gateways: even the pool's share is held back
+constexpr double kFewQueries = 4;    // of the widest class: a pool for fewer can't keep the ranks by budgets;
+constexpr double kLaterRanks = 0.7;  // then all but the first class stop at this part of both crowd limits
+constexpr double kJamPace = 1.5;     // median pace that tells the fleet is past its peak;
+constexpr double kJamPaceRanked = 2.2;  // where priorities keep the short classes quick in a crowd
+constexpr double kLeastEase = 0.5;      // of the crowd limits, at the least
 constexpr double kEaseDown = 0.85, kEaseUp = 0.05;  // a period
 constexpr double kUsualSpeed = 1.5;   // answer time against the usual: up to here an engine is at usual speed
 constexpr double kSlow = 2.2;         // pace against the fleet's median: an engine is slow from here
@@ -169,6 +170,7 @@
       classes_[c].usual = classes_[c].base = secs(set.aim) * kFirstWork;
       classes_[c].work = secs(set.aim) * kFirstWork * set.threads;
       classes_[c].u = set.threads;
+      widest_ = std::max(widest_, set.threads);
       readers_wait_ = readers_wait_ || set.waits_for_group;
     }
     std::stable_sort(rank_.begin(), rank_.end(), [this](ClassIndex a, ClassIndex b) {
@@ -268,6 +270,7 @@
       ill += engine.health != Health::well ? 1 : 0;
       if (!rested(engine)) pool_ += share(engine);
     }
+    few_ = pool_ < kFewQueries * widest_;
     // More than half of the fleet shows it: then it is no engine's own fault, and none is left out.
     fleet_ill_ = 2 * ill > ready_.size();
   }
@@ -829,7 +832,7 @@
   // Room within this gateway's share of the engine, or past it while the engine answers at its usual speed.
   [[nodiscard]] bool room(const Engine& engine, ClassIndex c) const {
     const unsigned threads = s_.classes[c].threads;
-    const double ease = ease_ * (c == rank_.front() ? 1 : kLaterRanks);
+    const double ease = ease_ * (few_ && c != rank_.front() ? kLaterRanks : 1);
     if (cold(engine) && small_share(engine)) return true;  // its turns are fewer than its room
     const double size = cores(engine) * warmth(engine, 0s) / slowness(engine);
     const auto all = all_threads(engine);
@@ -980,11 +983,9 @@
   }
 
   // A fleet slower than usual has passed its peak, wherever that lies with the mix of the day: fewer at once.
-  // Priorities, where heeded, already keep the short classes quick in a crowd.
   void ease() {
-    if (s_.priorities) return;
-    ease_ =
-        median_pace_ > kJamPace ? std::max(kLeastEase, ease_ * kEaseDown) : std::min(1.0, ease_ + kEaseUp);
+    const bool jam = median_pace_ > (s_.priorities ? kJamPaceRanked : kJamPace);
+    ease_ = jam ? std::max(kLeastEase, ease_ * kEaseDown) : std::min(1.0, ease_ + kEaseUp);
   }
 
   void sample() {
@@ -1144,7 +1145,8 @@
   std::map<std::int64_t, std::vector<Engine*>> homes_;
   std::deque<std::pair<Time, Engine*>> recent_;  // newest reports
   std::uint64_t look_ = 0;
-  bool fleet_changed_ = false;
+  bool fleet_changed_ = false, few_ = false;  // few: the pool holds few queries
+  unsigned widest_ = 1;                       // threads
   double pool_ = 0, cores_ = 0, fleet_pace_ = 1;
   double level_ = -1,
          told_level_ = -1;  // threads a core, from gateways' own threads and from reports; -1: none
