--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -46,7 +46,7 @@
 constexpr double kSlow = 2.2;         // pace against the fleet's median: an engine is slow from here
 constexpr double kSlowSamples = 8;    // answers before a pace is believed
 constexpr double kPaceStep = 0.1;     // weight of one answer in an engine's pace
-constexpr double kLevelStep = 0.25;   // weight of one report in the fleet's level, threads a core
+constexpr double kLevelStep = 0.1;   // weight of one report in the fleet's level, threads a core
 constexpr double kFleetStep = 0.04;   // weight of one answer in the fleet's pace
 constexpr double kOwnPart = 0.25;     // of an engine's load as judged: own threads times gateways
 constexpr double kFarZone = 0.1;      // threads a core that another zone must be emptier by
@@ -792,7 +792,7 @@
            (mix_queries_ + kMixPrior);
   }
 
-  [[nodiscard]] bool crowded() const { return level() > kPassCrowd * ease_; }
+  [[nodiscard]] bool crowded() const { return few_ && level() > kPassCrowd * ease_; }
   // Of the fleet, threads a core; below 0: nothing has told yet.
   [[nodiscard]] double level() const { return level_ < 0 ? told_level_ : level_; }
 
@@ -832,7 +832,7 @@
   // Room within this gateway's share of the engine, or past it while the engine answers at its usual speed.
   [[nodiscard]] bool room(const Engine& engine, ClassIndex c) const {
     const unsigned threads = s_.classes[c].threads;
-    const double ease = ease_ * (few_ && c != rank_.front() ? kLaterRanks : 1);
+    const double ease = ease_ * (c == rank_.front() ? 1 : few_ ? kLaterRanks : 0.85);
     if (cold(engine) && small_share(engine)) return true;  // its turns are fewer than its room
     const double size = cores(engine) * warmth(engine, 0s) / slowness(engine);
     const auto all = all_threads(engine);
@@ -984,6 +984,7 @@
 
   // A fleet slower than usual has passed its peak, wherever that lies with the mix of the day: fewer at once.
   void ease() {
+    if (s_.priorities && !few_) return;
     const bool jam = median_pace_ > (s_.priorities ? kJamPaceRanked : kJamPace);
     ease_ = jam ? std::max(kLeastEase, ease_ * kEaseDown) : std::min(1.0, ease_ + kEaseUp);
   }
