--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -769,7 +769,7 @@
   bool look(Request& request, const std::vector<Engine*>& engines) {
     if (!s_.may_probe || s_.load_fields.empty() || now_ < request.look_until)
       return request.look_until > now_;
-    if (request.look_until > Time::zero()) return false;
+    if (request.look_until > Time::zero() && (few_ || now_ < request.look_until + kProbeAge)) return false;
     request.look_until = now_;
     const bool heavy = 2 * classes_[request.asked.cls].work > heaviest();
     double left = heavy ? kProbesHeavy : 1;
@@ -792,7 +792,7 @@
            (mix_queries_ + kMixPrior);
   }
 
-  [[nodiscard]] bool crowded() const { return few_ && level() > kPassCrowd * ease_; }
+  [[nodiscard]] bool crowded() const { return level() > kPassCrowd * ease_; }
   // Of the fleet, threads a core; below 0: nothing has told yet.
   [[nodiscard]] double level() const { return level_ < 0 ? told_level_ : level_; }
 
@@ -832,7 +832,7 @@
   // Room within this gateway's share of the engine, or past it while the engine answers at its usual speed.
   [[nodiscard]] bool room(const Engine& engine, ClassIndex c) const {
     const unsigned threads = s_.classes[c].threads;
-    const double ease = ease_ * (c == rank_.front() ? 1 : few_ ? kLaterRanks : 0.85);
+    const double ease = ease_ * (c == rank_.front() ? 1 : few_ ? kLaterRanks : 1);
     if (cold(engine) && small_share(engine)) return true;  // its turns are fewer than its room
     const double size = cores(engine) * warmth(engine, 0s) / slowness(engine);
     const auto all = all_threads(engine);
@@ -1034,20 +1034,6 @@
     if (now_ >= sampled_ + kPeriod) {
       measure_rates(secs(now_ - sampled_));
       sampled_ = now_;
-      if (s_.me == 3) {  // DBG
-        std::string t =
-            "DBG l " + std::to_string(level()).substr(0, 4) + " ease " + std::to_string(ease_).substr(0, 4) +
-            " pace " + std::to_string(fleet_pace_).substr(0, 4) + " mix " +
-            std::to_string(mix()).substr(0, 4) + " q " + std::to_string(classes_[0].queue.size()) + "/" +
-            std::to_string(classes_[1].queue.size()) + " ill " + std::to_string(fleet_ill_);
-        for (auto* e : ready_)
-          t += " " + std::to_string(int(now_ > e->reported + kFresh ? -1 : e->others)) +
-               (cold(*e) ? "c" : "") +
-               (e->health == Health::well      ? ""
-                : e->health == Health::resting ? "R"
-                                               : "T");
-        put(Trace{t});
-      }
       measure_pace();
       sample();
     }
