--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -1,13 +1,11 @@
-// All decisions of heronwell. The interface (settings, events, actions) is include/heronwell/gateway.hpp.
+// All decisions of heronwell. The interface (settings, events, actions) is include/heronwell/gateway.hpp;
+// what is remembered, src/state.hpp.
 #include <algorithm>
 #include <cmath>
-#include <deque>
-#include <map>
 #include <random>
-#include <set>
-#include <stdexcept>
 
 #include "heronwell/gateway.hpp"
+#include "state.hpp"
 
 namespace heronwell {
 namespace {
@@ -46,7 +44,7 @@
 constexpr double kSlow = 2.2;         // pace against the fleet's median: an engine is slow from here
 constexpr double kSlowSamples = 8;    // answers before a pace is believed
 constexpr double kPaceStep = 0.1;     // weight of one answer in an engine's pace
-constexpr double kLevelStep = 0.1;   // weight of one report in the fleet's level, threads a core
+constexpr double kLevelStep = 0.1;    // weight of one report in the fleet's level, threads a core
 constexpr double kFleetStep = 0.04;   // weight of one answer in the fleet's pace
 constexpr double kOwnPart = 0.25;     // of an engine's load as judged: own threads times gateways
 constexpr double kFarZone = 0.1;      // threads a core that another zone must be emptier by
@@ -84,7 +82,6 @@
 constexpr double kSilentEach = 3;     // of them for one attempt: a single long query is no silence
 constexpr Time kSilentLeast = 800ms;  // and this long without a word;
 constexpr double kSilentNotes = 3.2;  // or so many note paces, where notes are promised
-constexpr Time kFullPause = 250ms;    // an engine that turned a query away is left alone
 constexpr double kTimeOutAim = 1.5;   // attempt time-out on an engine on trial, of the latency aim
 constexpr Time kPlanLook = 900ms;     // an attempt is not judged by its progress before this
 constexpr double kBadPlan = 5;        // predicted length in usual answer times that tells a bad plan
@@ -99,70 +96,12 @@
 constexpr double kFullCapacity = 0.85;  // core-seconds a second for each core: what "capacity" stands for
 constexpr double kFirstWork = 0.5;      // of aim x threads: a class's work before any answer
 
-double secs(Time t) { return std::chrono::duration<double>(t).count(); }
-Time span(double s) { return Time(static_cast<std::int64_t>(s * 1e9)); }
-
-struct Attempt {
-  EngineId engine = 0;
-  Time sent{};
-  bool out = true, called_off = false;
-  Result result = Result::moot;
-  [[nodiscard]] bool proven_unrun() const {
-    return !out &&
-           (result == Result::turned_away || result == Result::not_connected || result == Result::moot);
-  }
-};
-
-struct Request {
-  Arrival asked;
-  Time queued{};  // since when it is held here
-  Time deadline{};
-  bool open = true, held = false;  // held: stands in its class's queue
-  Time look_until{};               // probes made for it are awaited until then; 0: none made yet
-  std::vector<Attempt> attempts;
-  [[nodiscard]] bool out() const { return !attempts.empty() && attempts.back().out; }
-};
-
-enum class Health { well, resting, trial };
-
-struct Engine {
-  EngineEntry entry;
-  bool ready = false, down = false;   // down: connections fail, it may come back cold
-  unsigned threads = 0, queries = 0;  // of this gateway
-  std::set<std::pair<RequestId, AttemptIndex>> out;
-  Health health = Health::well;
-  Time rest_until{}, rest = kFirstRest;
-  int trials = 0;  // answered since the rest
-  double errors = 0;
-  double pace = 1, samples = 0;  // answer time against the class's usual one; answers it rests on
-  Time heard{}, full_until{};
-  Time cold_since{};  // 0: warm
-  Time turn_until{};  // while cold: this gateway's turn, and core-seconds left of it
-  double turn_left = 0;
-  std::deque<std::pair<Time, double>> cold_sends;
-  double others = 0;  // threads of other gateways at the last report
-  Time reported{}, probed{};
-  std::uint64_t looked = 0;           // the last comparison it took part in
-  std::map<std::int64_t, int> loads;  // own loads out, by group
-  std::map<std::int64_t, Time> held;  // groups seen held by a load, until when to believe it
-};
-
-struct Class {
-  std::deque<RequestId> queue;
-  unsigned running = 0;                       // threads
-  double u = 0;                               // U(m), threads
-  double budget = 0;                          // what filling by rank left of it
-  double error = 0, waits = 0, released = 0;  // E(m-1), wait aims; s and queries let go in this period
-  double usual = 0, base = 0;                 // s, answer time of late, and while all was well
-  double block = 0, blocked = 0;              // s, answers not yet in base: their sum and count
-  double work = 0, memory = 0;                // core-seconds; MB needed of late, where answers tell
-};
 }  // namespace
 
 class Gateway::Choice {
  public:
   Choice(Settings settings, std::uint64_t seed) : s_(std::move(settings)), random_(seed) {
-    check();
+    check(s_);
     classes_.resize(s_.classes.size());
     for (std::size_t c = 0; c < classes_.size(); ++c) {
       rank_.push_back(static_cast<ClassIndex>(c));
@@ -207,25 +146,6 @@
 
  private:
   // ---- settings and start ------------------------------------------------------------------------------
-  void check() const {
-    const auto bad = [](const char* what) {
-      throw std::invalid_argument(std::string("heronwell settings: ") + what);
-    };
-    if (s_.gateways == 0) bad("gateways must be 1 or more");
-    if (s_.classes.empty()) bad("classes must not be empty");
-    if (s_.kinds.empty()) bad("kinds must not be empty");
-    if (s_.max_attempts == 0) bad("max_attempts must be 1 or more");
-    if (s_.cold_from <= 0 || s_.cold_from > 1) bad("cold_from must lie above 0 and not above 1");
-    for (const auto& c : s_.classes) {
-      if (c.aim <= Time::zero()) bad("classes[].aim must be above 0");
-      if (c.threads == 0) bad("classes[].threads must be 1 or more");
-    }
-    for (const auto& k : s_.kinds) {
-      if (!(k.cores > 0)) bad("kinds[].cores must be above 0");
-    }
-    if (s_.retry_budget && s_.retry_budget->span <= Time::zero()) bad("retry_budget.span must be above 0");
-  }
-
   void start() {
     started_ = true;
     sampled_ = ticked_ = told_ = now_;
@@ -233,6 +153,7 @@
     put(WakeAfter{kTick});
   }
 
+  double drawn() { return std::generate_canonical<double, 32>(random_); }  // from 0 to 1
   void put(Action action) { out_->push_back(std::move(action)); }
   void trace(const Engine& engine, const char* what) {
     put(Trace{"engine " + std::to_string(engine.entry.engine) + " " + what});
@@ -263,6 +184,10 @@
     homes_.clear();
     pool_ = cores_ = 0;
     std::size_t ill = 0;
+    const auto gone = [](const Engine* engine) { return !engine->ready && engine->out.empty(); };
+    std::erase_if(recent_, [&](const auto& report) { return gone(report.second); });
+    std::erase_if(invited_, gone);
+    std::erase_if(engines_, [&](const auto& entry) { return gone(&entry.second); });
     for (auto& [id, engine] : engines_) {
       if (!engine.ready) continue;
       ready_.push_back(&engine);
@@ -282,7 +207,7 @@
     engine.down = false;
     engine.errors = engine.samples = 0;
     engine.pace = 1;
-    engine.rest = kFirstRest;
+    engine.rest = Time::zero();
     engine.held.clear();
   }
 
@@ -312,7 +237,7 @@
     request.deadline = now_ + asked.time_left;
     deadlines_.insert({request.deadline - kAnswerEarly, asked.request});
     if (asked.cls >= classes_.size()) return finish(request);
-    if (in_order(request)) turns_[asked.order_key].push_back(asked.request);
+    if (in_order(request)) turns_.join(asked.order_key, asked.request);
     if (over_share(asked) && (!classes_[asked.cls].queue.empty() || crowded())) return finish(request);
     hold(request, false);
   }
@@ -360,12 +285,7 @@
 
   void forget(Request& request) {
     const auto id = request.asked.request;
-    if (in_order(request)) {
-      const auto key = request.asked.order_key;
-      const auto turn = turns_.find(key);
-      std::erase(turn->second, id);
-      if (turn->second.empty()) turns_.erase(turn);
-    }
+    if (in_order(request)) turns_.leave(request.asked.order_key, id);
     requests_.erase(id);
   }
 
@@ -410,11 +330,11 @@
     for (const auto& attempt : request.attempts) {
       if (attempt.proven_unrun()) continue;
       if (set(request).effect == Effect::unsafe) return false;
-      const auto& first = engines_.at(attempt.engine).entry;
       const auto group = set(request).group;
       return now_ + kTick < attempt.sent + set(request).window &&
-             (group == RepeatGroup::all || (group == RepeatGroup::zone && first.zone == engine.entry.zone) ||
-              (group == RepeatGroup::cell && first.cell == engine.entry.cell));
+             (group == RepeatGroup::all ||
+              (group == RepeatGroup::zone && attempt.zone == engine.entry.zone) ||
+              (group == RepeatGroup::cell && attempt.cell == engine.entry.cell));
     }
     return true;
   }
@@ -422,9 +342,8 @@
   [[nodiscard]] bool in_turn(const Request& request) const {
     if (!in_order(request)) return true;
     const auto key = request.asked.order_key;
-    const auto rest = key_rests_.find(key);
-    return turns_.at(key).front() == request.asked.request &&
-           (request.attempts.size() > 0 || rest == key_rests_.end() || now_ >= rest->second);
+    return turns_.first(key, request.asked.request) &&
+           (!request.attempts.empty() || !turns_.rests(key, now_));
   }
 
   [[nodiscard]] bool within_retry_budget() {
@@ -469,7 +388,7 @@
       if (s_.tip_multiple <= 0 || !cold(*engine) || !small_share(*engine)) continue;
       const double turns =
           kTurnPart * cold_rate(*engine) * std::min(passed, kTurnStep) / s_.gateways / heaviest();
-      if (std::generate_canonical<double, 32>(random_) >= turns) continue;
+      if (drawn() >= turns) continue;
       engine->turn_until = now_ + kTurn;
       engine->turn_left = heaviest();
       invited_.push_back(engine);
@@ -490,7 +409,7 @@
     engine.turn_left -= cls.work;
     if (engine.out.empty()) engine.heard = now_;
     engine.out.insert({request.asked.request, static_cast<AttemptIndex>(request.attempts.size())});
-    request.attempts.push_back({engine.entry.engine, now_});
+    request.attempts.push_back({engine.entry.engine, engine.entry.zone, engine.entry.cell, now_});
     request.held = false;
     cls.running += set.threads;
     engine.threads += set.threads;
@@ -529,7 +448,7 @@
       engine.loads.erase(request->asked.data_group);
     if (in_order(*request) && (outcome.result == Result::timed_out || outcome.result == Result::reset ||
                                outcome.result == Result::called_off))
-      key_rests_[request->asked.order_key] = now_ + s_.order_rest;
+      turns_.rest(request->asked.order_key, now_ + s_.order_rest);
     take_load(engine, outcome.load);
     judge(engine, *request, outcome);
     if (outcome.closed && request->open) return close(*request);
@@ -554,7 +473,6 @@
         return judge_failed(engine, kErrorStep);
       case Result::turned_away:
         engine.heard = now_;
-        engine.full_until = now_ + kFullPause;
         take_report(engine, kCrowdAtFull * cores(engine), now_);
         return;
       case Result::timed_out:
@@ -579,7 +497,7 @@
     if (engine.down) begin_cold(engine, now_);  // it was out of reach: a new process, maybe, not yet listed
     if (engine.health == Health::trial && ++engine.trials >= kTrials) {
       engine.health = Health::well;
-      engine.rest = kFirstRest;
+      engine.rest = Time::zero();
       fleet_changed_ = true;
       trace(engine, "answers again");
     }
@@ -621,8 +539,8 @@
     if (engine.health == Health::well) trace(engine, why);
     engine.health = Health::resting;
     fleet_changed_ = true;
-    engine.rest_until = now_ + span(secs(engine.rest) * (0.5 + std::generate_canonical<double, 32>(random_)));
-    engine.rest = std::min(2 * engine.rest, kMostRest);
+    engine.rest = engine.rest > Time::zero() ? std::min(2 * engine.rest, kMostRest) : kFirstRest;
+    engine.rest_until = now_ + span(secs(engine.rest) * (0.5 + drawn()));
     engine.trials = 0;
     for (const auto& [id, n] : std::vector(engine.out.begin(), engine.out.end())) rescue(id);
   }
@@ -700,63 +618,44 @@
     if (at != engines_.end() && probe.result == Result::served) take_load(at->second, probe.load);
   }
 
-  // Messages to other gateways, numbers with their low byte first. Few gateways: 'o', then for each engine
-  // its id (4 bytes) and own threads there (1), to all. Many: 'r', own threads in all (2), then of the newest
-  // reports the engine (4), its threads a core in 32nds (1) and the report's age in ticks (1), to some drawn
-  // at random: what a query costs in bytes doesn't grow with the gateways. One that is not of these lengths
-  // is ignored whole.
+  // Few gateways tell all others their own threads; many tell a few, drawn at random, the newest reports they
+  // have: what a query costs in bytes doesn't grow with the gateways. A malformed message is ignored whole.
   void on(const PeerMessage& message) {
-    const auto& bytes = message.bytes;
-    const auto number = [&bytes](std::size_t at, std::size_t size) {
-      std::uint32_t value = 0;
-      while (size-- > 0) value = value << 8 | static_cast<unsigned char>(bytes[at + size]);
-      return value;
-    };
-    if (!bytes.empty() && bytes[0] == 'o' && bytes.size() % 5 == 1) {
-      auto& peer = peers_[message.from];
-      peer.first = now_;
-      peer.second.clear();
-      for (std::size_t i = 1; i < bytes.size(); i += 5) peer.second[number(i, 4)] = number(i + 4, 1);
-    } else if (!bytes.empty() && bytes[0] == 'r' && bytes.size() % 6 == 3) {
-      const double level = number(1, 2) * s_.gateways / std::max(1.0, cores_);
-      level_ = level_ < 0 ? level : level_ + kPeerStep * (level - level_);
-      for (std::size_t i = 3; i < bytes.size(); i += 6) {
-        const auto at = engines_.find(number(i, 4));
-        const Time told = now_ - number(i + 5, 1) * kTick;
-        if (at != engines_.end() && at->second.ready && told > at->second.reported)
-          take_report(at->second, number(i + 4, 1) / 32.0 * cores(at->second), told);
-      }
+    const auto text = decode(message.bytes);
+    if (!text) return;
+    if (!text->reports) {
+      peers_[message.from] = {now_, {}};
+      for (const auto& entry : text->entries) peers_[message.from].second[entry.engine] = entry.value;
+      return;
+    }
+    const double level = text->threads * s_.gateways / std::max(1.0, cores_);
+    level_ = level_ < 0 ? level : level_ + kPeerStep * (level - level_);
+    for (const auto& entry : text->entries) {
+      const auto at = engines_.find(entry.engine);
+      const Time told = now_ - entry.age * kTick;
+      if (at != engines_.end() && at->second.ready && told > at->second.reported)
+        take_report(at->second, entry.value / 32.0 * cores(at->second), told);
     }
   }
 
   void tell_peers() {
     if (!s_.may_tell || s_.gateways < 2 || now_ < told_ + kTellPace) return;
     told_ = now_;
-    std::string bytes;
-    const auto add = [&bytes](double value, int size) {
-      auto whole = static_cast<std::uint32_t>(value);
-      for (; size > 0; --size, whole >>= 8) bytes.push_back(static_cast<char>(whole & 0xff));
-    };
-    if (s_.gateways <= kTellAll) {
-      bytes = "o";
-      for (const auto id : busy_) {
-        if (bytes.size() + 5 > 256) break;
-        add(id, 4);
-        add(std::min(engines_.at(id).threads, 255U), 1);
-      }
-      return put(Tell{std::nullopt, bytes});
+    PeerText text;
+    text.reports = s_.gateways > kTellAll;
+    if (!text.reports) {
+      for (const auto id : busy_) text.entries.push_back({id, engines_.at(id).threads});
+      return put(Tell{std::nullopt, encode(text)});
     }
-    bytes = "r";
-    unsigned own = 0;
-    for (const auto& cls : classes_) own += cls.running;
-    add(own, 2);
+    for (const auto& cls : classes_) text.threads += cls.running;
     for (const auto& [at, engine] : recent_) {
       const auto age = (now_ - at) / kTick;
-      if (age > 255 || engine->reported != at) continue;
-      add(engine->entry.engine, 4);
-      add(std::clamp((engine->others + engine->threads) / cores(*engine) * 32, 0.0, 255.0), 1);
-      add(static_cast<double>(age), 1);
+      const double value = (engine->others + engine->threads) / cores(*engine) * 32;
+      if (age < 255 && engine->reported == at)
+        text.entries.push_back(
+            {engine->entry.engine, static_cast<unsigned>(value), static_cast<unsigned>(age)});
     }
+    const auto bytes = encode(text);
     const auto size = static_cast<double>(bytes.size());
     for (; tell_bytes_ >= size; tell_bytes_ -= size) {
       const auto to = static_cast<std::uint32_t>(random_() % (s_.gateways - 1));
@@ -845,7 +744,6 @@
   }
 
   [[nodiscard]] bool healthy(const Request& request, Engine& engine) const {
-    if (now_ < engine.full_until) return false;
     if (engine.health == Health::well || (fleet_ill_ && !engine.down)) return true;
     if (engine.health == Health::resting && now_ >= engine.rest_until) engine.health = Health::trial;
     return engine.health == Health::trial && engine.queries == 0 && set(request).effect == Effect::safe;
@@ -869,21 +767,16 @@
   // first engines, and what would stand still behind them stays away, though no gateway sees the others'
   // loads.
   const std::vector<Engine*>& homes(std::int64_t group) {
-    const auto mix = [group](EngineId id) {
-      std::uint64_t x = (static_cast<std::uint64_t>(group) << 32) + id + 0x9e3779b97f4a7c15ULL;
-      x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
-      x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
-      return x ^ (x >> 31);
-    };
     auto& homes = homes_[group];
     if (homes.empty()) {
       for (auto* engine : ready_) {
         if (!rested(*engine)) homes.push_back(engine);
       }
       const auto count = std::min(homes.size(), std::max(kHomes, ready_.size() / kHomePart));
-      std::partial_sort(
-          homes.begin(), homes.begin() + static_cast<std::ptrdiff_t>(count), homes.end(),
-          [&](const Engine* a, const Engine* b) { return mix(a->entry.engine) < mix(b->entry.engine); });
+      std::partial_sort(homes.begin(), homes.begin() + static_cast<std::ptrdiff_t>(count), homes.end(),
+                        [group](const Engine* a, const Engine* b) {
+                          return spread(group, a->entry.engine) < spread(group, b->entry.engine);
+                        });
       homes.resize(count);
     }
     return homes;
@@ -933,7 +826,7 @@
     for (auto* engine : engines) {
       if (!healthy(request, *engine) || !room(*engine, request.asked.cls)) continue;
       if (!may_send(request, *engine)) continue;
-      const double score = crowding(request, *engine) + 0.01 * std::generate_canonical<double, 32>(random_);
+      const double score = crowding(request, *engine) + 0.01 * drawn();
       if (best == nullptr || score < least) {
         best = engine;
         least = score;
@@ -1044,7 +937,7 @@
     const Time back = s_.retry_budget ? s_.retry_budget->span : Time::zero();
     while (!taken_.empty() && taken_.front() <= now_ - back) taken_.pop_front();
     while (!further_.empty() && further_.front() < now_ - back) further_.pop_front();
-    std::erase_if(key_rests_, [this](const auto& rest) { return rest.second <= now_; });
+    turns_.forget(now_);
   }
 
   // Held so long that an answer would come after its aim: given up at once, so that fresher ones are in time.
@@ -1078,9 +971,7 @@
     }
     median_pace_ = fleet_pace_;  // few answers from each engine: all of them together tell
     if (2 * paces.size() < ready_.size() || paces.empty()) return;
-    const auto middle = paces.begin() + static_cast<std::ptrdiff_t>(paces.size() / 2);
-    std::nth_element(paces.begin(), middle, paces.end());
-    median_pace_ = *middle;
+    median_pace_ = median(std::move(paces));
   }
 
   // ---- tenants -------------------------------------------------------------------------------------------
@@ -1120,8 +1011,7 @@
   std::map<EngineId, Engine> engines_;
   std::map<RequestId, Request> requests_;  // open, or with an attempt still out
   std::set<std::pair<Time, RequestId>> deadlines_;
-  std::map<std::uint64_t, std::deque<RequestId>> turns_;  // by order key, in the order taken
-  std::map<std::uint64_t, Time> key_rests_;
+  KeyTurns turns_;
   std::deque<Time> taken_, further_;
   std::map<std::uint32_t, std::pair<Time, std::map<EngineId, unsigned>>> peers_;
   std::vector<double> tokens_;
