--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <random>
+#include <tuple>
 
 #include "heronwell/gateway.hpp"
 #include "state.hpp"
@@ -22,14 +23,14 @@
 
 // Letting go of queries.
 constexpr Time kTick = 20ms;             // between looks at clocks
+constexpr Time kAbsence = 200ms;         // without a call for so long, a gateway was itself away
 constexpr Time kAnswerEarly = 45ms;      // final answers go out this long before the deadline: two ticks
 constexpr double kHoldShare = 0.4;       // of the latency aim: held longer, an answer would come too late
 constexpr double kOverShareSlack = 1.3;  // a tenant may take this many times its share before it waits last
 constexpr double kShareBurst = 2.0;      // seconds of its share a tenant may save up
 constexpr double kShareLeast = 3;        // queries on top: a quiet gateway's come in clumps
 constexpr double kRateMemory = 20.0;     // s, of the arrival rate that shares are measured against
-constexpr double kRateLearn = 5.0;       // s after the start in which it is learnt as it comes
-constexpr double kRateGrowth = 1.3;      // times the usual rate that later moments count for at most
+constexpr double kRateGrowth = 1.3;      // times the usual rate that a period counts for at most
 
 // Engine choice.
 constexpr double kPassCrowd = 1.5;   // threads a core, all gateways: passing the pool stops here
@@ -41,23 +42,23 @@
 constexpr double kLeastEase = 0.5;      // of the crowd limits, at the least
 constexpr double kEaseDown = 0.85, kEaseUp = 0.05;  // a period
 constexpr double kUsualSpeed = 1.5;   // answer time against the usual: up to here an engine is at usual speed
-constexpr double kSlow = 2.2;         // pace against the fleet's median: an engine is slow from here
 constexpr double kSlowSamples = 8;    // answers before a pace is believed
 constexpr double kPaceStep = 0.1;     // weight of one answer in an engine's pace
 constexpr double kLevelStep = 0.1;    // weight of one report in the fleet's level, threads a core
 constexpr double kFleetStep = 0.04;   // weight of one answer in the fleet's pace
 constexpr double kOwnPart = 0.25;     // of an engine's load as judged: own threads times gateways
 constexpr double kFarZone = 0.1;      // threads a core that another zone must be emptier by
-constexpr double kHeldGroup = 3.0;    // threads a core: weight of a load known to hold the query's group
+constexpr double kSameAgain = 3.0;    // threads a core that others may be fuller by for another attempt
 constexpr std::size_t kHomes = 2;     // engines that all loads of one group share, at the least;
 constexpr std::size_t kHomePart = 5;  // and one in so many of a large fleet
 constexpr double kHomeKeepOff = 6.0;  // threads a core: a reader of the group keeps off them
-constexpr double kGrant = 3.2;        // memory granted, in needs of late as answers told them
-constexpr double kWarmHome = 0.3;     // threads a core that a group's homes may be fuller by: warm data
-constexpr Time kFresh = 2500ms;       // older load reports tell nothing
-constexpr double kReportLife = 1.5;   // s in which a report loses weight to the fleet's level
-constexpr Time kProbeAge = 300ms;     // a report older than this is worth a probe
-constexpr Time kProbeWait = 40ms;     // a query waits this long for the probes made for it
+constexpr std::uint8_t kFirst = 3, kUsual = 1;  // priorities of the first class in rank, and of the others
+constexpr double kGrant = 3.2;                  // memory granted, in needs of late as answers told them
+constexpr double kWarmHome = 0.3;      // threads a core that a group's homes may be fuller by: warm data
+constexpr Time kFresh = 2500ms;        // older load reports tell nothing
+constexpr double kReportLife = 1.5;    // s in which a report loses weight to the fleet's level
+constexpr Time kProbeAge = 300ms;      // a report older than this is worth a probe
+constexpr Time kProbeWait = 40ms;      // a query waits this long for the probes made for it
 constexpr double kProbesPerQuery = 1;  // at most
 constexpr double kProbesHeavy = 4;     // for one heavy query; others leave so many to the next heavy one
 constexpr std::size_t kLooks = 12;     // engines compared for one query, however many there are
@@ -69,7 +70,7 @@
 constexpr unsigned kTellAll = 10;   // gateways up to which each tells all others; above, reports go to a few
 constexpr double kTellBytes = 150;  // of these reports, a query
 constexpr double kPeerStep = 0.03;  // weight of one gateway's threads in the fleet's level
-constexpr double kApart = 0.5;
+constexpr double kApart = 0.5;  // of what a report differs from the others, where it only tells engines apart
 constexpr double kCrowdAtFull = 4;      // threads a core of an engine that turned a query away, at the least
 constexpr double kThreadsAtFull = 1.6;  // threads a core that "all cores busy" stands for
 
@@ -77,15 +78,12 @@
 constexpr double kErrorStep = 0.25;  // weight of one outcome in an engine's error share
 constexpr double kErrorTop = 0.4;    // error share at which an engine is rested: two errors in a row
 constexpr Time kFirstRest = 1s, kMostRest = 4s;  // before the first trial; doubled at each failed one
-constexpr int kTrials = 2;                       // answers that a rested engine must give one by one
 constexpr double kSilentAnswers = 6;  // answers overdue, by usual times, before silence is believed
 constexpr double kSilentEach = 3;     // of them for one attempt: a single long query is no silence
 constexpr Time kSilentLeast = 800ms;  // and this long without a word;
 constexpr double kSilentNotes = 3.2;  // or so many note paces, where notes are promised
-constexpr double kTimeOutAim = 1.5;   // attempt time-out on an engine on trial, of the latency aim
 constexpr Time kPlanLook = 900ms;     // an attempt is not judged by its progress before this
 constexpr double kBadPlan = 5;        // predicted length in usual answer times that tells a bad plan
-constexpr Time kHoldMemory = 2500ms;  // a load seen to hold a group is believed to for this long
 
 // Cold starts: a part of this gateway's even share, as the other gateways' traffic is not seen.
 constexpr double kColdPart = 0.9;
@@ -110,6 +108,7 @@
       classes_[c].work = secs(set.aim) * kFirstWork * set.threads;
       classes_[c].u = set.threads;
       widest_ = std::max(widest_, set.threads);
+      mean_threads_ += set.threads / static_cast<double>(s_.classes.size());
       readers_wait_ = readers_wait_ || set.waits_for_group;
     }
     std::stable_sort(rank_.begin(), rank_.end(), [this](ClassIndex a, ClassIndex b) {
@@ -124,9 +123,12 @@
   }
 
   void handle(Time now, const std::vector<Event>& events, std::vector<Action>& out) {
-    now_ = now;
+    if (!started_) called_ = now;
+    away_ = now > called_ + kAbsence ? now - called_ : Time::zero();
+    called_ = now_ = now;
     out_ = &out;
     if (!started_) start();
+    if (away_ > Time::zero()) come_back();
     bool only_notes = true;  // these free nothing
     for (const auto& event : events) {
       std::visit([this](const auto& e) { on(e); }, event);
@@ -154,6 +156,11 @@
   }
 
   double drawn() { return std::generate_canonical<double, 32>(random_); }  // from 0 to 1
+  // This gateway had no turn for a while: no engine was silent meanwhile, and what it now hears is as old.
+  void come_back() {
+    for (const auto id : busy_) engines_.at(id).heard = now_;
+  }
+
   void put(Action action) { out_->push_back(std::move(action)); }
   void trace(const Engine& engine, const char* what) {
     put(Trace{"engine " + std::to_string(engine.entry.engine) + " " + what});
@@ -161,11 +168,8 @@
 
   // ---- the list of engines -----------------------------------------------------------------------------
   void on(const Listing& list) {
-    if (list.kind == ListKind::failed) {
-      asked_again_ = now_ + 1s;
-      return;
-    }
-    if (list.kind != ListKind::delta) {
+    if (list.kind == ListKind::failed) asked_again_ = now_ + 1s;
+    if (list.kind == ListKind::full || list.kind == ListKind::cached) {
       for (auto& [id, engine] : engines_) engine.ready = false;
     }
     for (const auto& entry : list.engines) {
@@ -183,7 +187,6 @@
     ready_.clear();
     homes_.clear();
     pool_ = cores_ = 0;
-    std::size_t ill = 0;
     const auto gone = [](const Engine* engine) { return !engine->ready && engine->out.empty(); };
     std::erase_if(recent_, [&](const auto& report) { return gone(report.second); });
     std::erase_if(invited_, gone);
@@ -192,38 +195,31 @@
       if (!engine.ready) continue;
       ready_.push_back(&engine);
       cores_ += cores(engine);
-      ill += engine.health != Health::well ? 1 : 0;
       if (!rested(engine)) pool_ += share(engine);
     }
     few_ = pool_ < kFewQueries * widest_;
-    // More than half of the fleet shows it: then it is no engine's own fault, and none is left out.
-    fleet_ill_ = 2 * ill > ready_.size();
   }
 
   // A process that has just begun: what was known of its health, pace and load is void.
   void begin_cold(Engine& engine, Time since) {
     engine.cold_since = since;
     engine.health = Health::well;
-    engine.down = false;
     engine.errors = engine.samples = 0;
     engine.pace = 1;
     engine.rest = Time::zero();
-    engine.held.clear();
   }
 
-  [[nodiscard]] double cores(const Engine& engine) const { return s_.kinds[engine.entry.kind].cores; }
-  [[nodiscard]] bool cold(const Engine& engine) const {
+  double cores(const Engine& engine) const { return s_.kinds[engine.entry.kind].cores; }
+  bool cold(const Engine& engine) const {
     return engine.cold_since > Time::zero() && now_ < engine.cold_since + s_.ramp_time;
   }
   // Least share of its capacity an engine has had over the last `back`.
-  [[nodiscard]] double warmth(const Engine& engine, Time back) const {
+  double warmth(const Engine& engine, Time back) const {
     if (!cold(engine)) return 1;
     const double age = std::max(0.0, secs(now_ - engine.cold_since - back)) / secs(s_.ramp_time);
     return s_.cold_from + (1 - s_.cold_from) * std::min(1.0, age);
   }
-  [[nodiscard]] double share(const Engine& engine) const {
-    return kThreadsPerCore * cores(engine) / s_.gateways;
-  }
+  double share(const Engine& engine) const { return kThreadsPerCore * cores(engine) / s_.gateways; }
 
   // ---- requests ----------------------------------------------------------------------------------------
   void on(const Arrival& asked) {
@@ -261,12 +257,9 @@
   // Ends a request with the answer that its class and attempts allow, at once.
   void finish(Request& request) {
     if (!request.open) return;
-    if (may_refuse(request)) {
-      const Time pause = s_.retry_after ? s_.max_retry_after : Time::zero();
-      put(Refuse{request.asked.request, pause});
-    } else {
-      put(Fail{request.asked.request});
-    }
+    const auto id = request.asked.request;
+    const Time pause = s_.retry_after ? s_.max_retry_after : Time::zero();
+    may_refuse(request) ? put(Refuse{id, pause}) : put(Fail{id});
     close(request);
   }
 
@@ -276,11 +269,7 @@
     if (request.held) std::erase(classes_[request.asked.cls].queue, id);
     request.held = false;
     deadlines_.erase({request.deadline - kAnswerEarly, id});
-    if (request.out()) {
-      call_off(request);
-    } else {
-      forget(request);
-    }
+    request.out() ? call_off(request) : forget(request);
   }
 
   void forget(Request& request) {
@@ -296,36 +285,34 @@
     put(CallOff{request.asked.request, static_cast<AttemptIndex>(request.attempts.size() - 1)});
   }
 
-  [[nodiscard]] const ClassSettings& set(const Request& request) const {
-    return s_.classes[request.asked.cls];
-  }
-  [[nodiscard]] bool in_order(const Request& request) const {
+  const ClassSettings& set(const Request& request) const { return s_.classes[request.asked.cls]; }
+  bool in_order(const Request& request) const {
     return request.asked.order_key != 0 && request.asked.cls < classes_.size() && set(request).in_order;
   }
 
   // ---- the rules: every send passes may_send(), every refusal may_refuse() --------------------------------
-  [[nodiscard]] bool may_refuse(const Request& request) const {
+  bool may_refuse(const Request& request) const {
     if (request.asked.cls >= classes_.size() || set(request).effect == Effect::safe) return true;
     if (set(request).effect == Effect::keyed && set(request).group == RepeatGroup::all) return true;
     return std::all_of(request.attempts.begin(), request.attempts.end(),
                        [](const Attempt& a) { return a.proven_unrun(); });
   }
 
-  [[nodiscard]] bool may_send(const Request& request, Engine& engine) {
+  bool may_send(const Request& request, Engine& engine) {
     return engine.ready && request.open && !request.out() && now_ < request.deadline - kAnswerEarly &&
            request.attempts.size() < s_.max_attempts && placed(request, engine) &&
            repeat_allowed(request, engine) && in_turn(request) &&
            (request.attempts.empty() || within_retry_budget()) && cold_room(request, engine);
   }
 
-  [[nodiscard]] bool placed(const Request& request, const Engine& engine) const {
+  bool placed(const Request& request, const Engine& engine) const {
     const auto among = [](const std::optional<std::vector<std::uint16_t>>& list, std::uint16_t value) {
       return !list || std::find(list->begin(), list->end(), value) != list->end();
     };
     return among(set(request).zones, engine.entry.zone) && among(set(request).kinds, engine.entry.kind);
   }
 
-  [[nodiscard]] bool repeat_allowed(const Request& request, const Engine& engine) const {
+  bool repeat_allowed(const Request& request, const Engine& engine) const {
     if (set(request).effect == Effect::safe) return true;
     for (const auto& attempt : request.attempts) {
       if (attempt.proven_unrun()) continue;
@@ -339,14 +326,14 @@
     return true;
   }
 
-  [[nodiscard]] bool in_turn(const Request& request) const {
+  bool in_turn(const Request& request) const {
     if (!in_order(request)) return true;
     const auto key = request.asked.order_key;
     return turns_.first(key, request.asked.request) &&
            (!request.attempts.empty() || !turns_.rests(key, now_));
   }
 
-  [[nodiscard]] bool within_retry_budget() {
+  bool within_retry_budget() {
     if (!s_.retry_budget) return true;
     const auto& budget = *s_.retry_budget;
     forget_old();
@@ -355,14 +342,14 @@
   }
 
   // What all gateways may send a cold engine in a second, of the work that tips it over; core-seconds.
-  [[nodiscard]] double cold_rate(const Engine& engine) const {
+  double cold_rate(const Engine& engine) const {
     return s_.tip_multiple * warmth(engine, s_.tip_window) * kFullCapacity * cores(engine);
   }
 
   // Within any window, a part of this gateway's even share of what tips a cold engine over. Where that share
   // holds no query, this gateway has turns at moments drawn from its seed, so many that all gateways together
   // stay under a part of the whole; a turn not used is lost, as all might use what they have saved at once.
-  [[nodiscard]] bool cold_room(const Request& request, Engine& engine) const {
+  bool cold_room(const Request& request, Engine& engine) const {
     if (s_.tip_multiple <= 0 || !cold(engine)) return true;
     while (!engine.cold_sends.empty() && engine.cold_sends.front().first < now_ - s_.tip_window)
       engine.cold_sends.pop_front();
@@ -374,12 +361,12 @@
     return sum <= most || (engine.cold_sends.empty() && sum <= 2 * most);
   }
 
-  [[nodiscard]] double heaviest() const {
-    double most = 0;
-    for (const auto& cls : classes_) most = std::max(most, cls.work);
-    return most;
+  double heaviest() const {
+    return std::max_element(classes_.begin(), classes_.end(),
+                            [](const Class& a, const Class& b) { return a.work < b.work; })
+        ->work;
   }
-  [[nodiscard]] bool small_share(const Engine& engine) const {
+  bool small_share(const Engine& engine) const {
     return kColdPart * cold_rate(engine) * secs(s_.tip_window) < heaviest() * s_.gateways;
   }
 
@@ -403,8 +390,10 @@
     cls.waits += secs(now_ - request.queued);
     ++cls.released;
     if (!request.attempts.empty()) further_.push_back(now_);
-    if (s_.grants || s_.priorities) put(Terms{request.asked.request, kGrant * cls.memory, priority(request)});
-    put(Send{request.asked.request, engine.entry.engine, time_out(request, engine)});
+    if (s_.grants || s_.priorities)
+      put(Terms{request.asked.request, kGrant * cls.memory,
+                request.asked.cls == rank_.front() ? kFirst : kUsual});
+    put(Send{request.asked.request, engine.entry.engine, request.deadline - kAnswerEarly});
     if (cold(engine)) engine.cold_sends.push_back({now_, cls.work});
     engine.turn_left -= cls.work;
     if (engine.out.empty()) engine.heard = now_;
@@ -415,20 +404,9 @@
     engine.threads += set.threads;
     ++engine.queries;
     busy_.insert(engine.entry.engine);
-    if (set.holds_group) ++engine.loads[request.asked.data_group];
     return true;
   }
 
-  [[nodiscard]] std::uint8_t priority(const Request& request) const {
-    return request.asked.cls == rank_.front() ? 3 : 1;
-  }
-
-  // Time-outs leave work behind, and cut off honest long queries; only an engine on trial gets short ones.
-  [[nodiscard]] Time time_out(const Request& request, const Engine& engine) const {
-    const Time last = request.deadline - kAnswerEarly;
-    if (engine.health != Health::trial || set(request).effect != Effect::safe) return last;
-    return std::min(last, now_ + span(kTimeOutAim * secs(set(request).aim)));
-  }
   // ---- outcomes ----------------------------------------------------------------------------------------
   void on(const Outcome& outcome) {
     auto* request = find(outcome.request);
@@ -444,8 +422,6 @@
     classes_[request->asked.cls].running -= set.threads;
     engine.threads -= set.threads;
     if (--engine.queries == 0) busy_.erase(outcome.engine);
-    if (set.holds_group && --engine.loads[request->asked.data_group] == 0)
-      engine.loads.erase(request->asked.data_group);
     if (in_order(*request) && (outcome.result == Result::timed_out || outcome.result == Result::reset ||
                                outcome.result == Result::called_off))
       turns_.rest(request->asked.order_key, now_ + s_.order_rest);
@@ -466,36 +442,21 @@
   }
 
   void judge(Engine& engine, const Request& request, const Outcome& outcome) {
-    switch (outcome.result) {
-      case Result::served:
-        return judge_served(engine, request.asked.cls, outcome);
-      case Result::error:
-        return judge_failed(engine, kErrorStep);
-      case Result::turned_away:
-        engine.heard = now_;
-        take_report(engine, kCrowdAtFull * cores(engine), now_);
-        return;
-      case Result::timed_out:
-        if (engine.health == Health::trial) rest(engine, "is silent");
-        return;
-      case Result::not_connected:
-        engine.down = true;
-        engine.cold_since = now_;
-        return rest(engine, "takes no connections");
-      case Result::reset:
-        engine.cold_since = now_;  // its process may have ended, and begin anew before any list tells
-        return judge_failed(engine, 2 * kErrorStep);
-      default:
-        return;
-    }
+    const auto result = outcome.result;
+    if (result == Result::served) return judge_served(engine, request.asked.cls, outcome);
+    if (result == Result::error) return judge_failed(engine, kErrorStep);
+    if (result == Result::turned_away)
+      return take_report(engine, kCrowdAtFull * cores(engine), engine.heard = now_);
+    if (result != Result::not_connected && result != Result::reset) return;
+    engine.cold_since = now_;  // its process may have ended, and begin anew before any list tells
+    result == Result::reset ? judge_failed(engine, 2 * kErrorStep) : rest(engine, "takes no connections");
   }
 
   void judge_served(Engine& engine, ClassIndex c, const Outcome& outcome) {
     auto& cls = classes_[c];
     engine.heard = now_;
     engine.errors -= kErrorStep * engine.errors;
-    if (engine.down) begin_cold(engine, now_);  // it was out of reach: a new process, maybe, not yet listed
-    if (engine.health == Health::trial && ++engine.trials >= kTrials) {
+    if (engine.health == Health::trial) {
       engine.health = Health::well;
       engine.rest = Time::zero();
       fleet_changed_ = true;
@@ -541,7 +502,6 @@
     fleet_changed_ = true;
     engine.rest = engine.rest > Time::zero() ? std::min(2 * engine.rest, kMostRest) : kFirstRest;
     engine.rest_until = now_ + span(secs(engine.rest) * (0.5 + drawn()));
-    engine.trials = 0;
     for (const auto& [id, n] : std::vector(engine.out.begin(), engine.out.end())) rescue(id);
   }
 
@@ -553,7 +513,7 @@
     if (request->attempts.size() < s_.max_attempts && within_retry_budget()) call_off(*request);
   }
 
-  [[nodiscard]] bool rested(const Engine& engine) const { return engine.health == Health::resting; }
+  bool rested(const Engine& engine) const { return engine.health == Health::resting; }
 
   void watch_silence(Engine& engine) {
     if (engine.out.empty() || engine.health == Health::resting) return;
@@ -572,23 +532,14 @@
 
   void on(const Note& note) {
     const auto at = engines_.find(note.engine);
-    auto* request = find(note.request);
-    if (at == engines_.end()) return;
-    auto& engine = at->second;
-    engine.heard = now_;
-    if (request == nullptr || note.attempt >= request->attempts.size() ||
-        !request->attempts[note.attempt].out)
-      return;
-    const auto& attempt = request->attempts[note.attempt];
-    const double age = secs(now_ - attempt.sent);
-    if (note.kind == NoteKind::waiting && note.amount > 1.5) {
-      engine.held[request->asked.data_group] = now_ + kHoldMemory;
-      rescue(note.request);
-    } else if (note.kind == NoteKind::progress && note.attempt == 0 && age > secs(kPlanLook)) {
-      // A bad plan, or an engine far too slow: what is left takes longer than to begin anew elsewhere.
-      const double whole = age / std::max(note.amount, 0.005);
-      if (whole > kBadPlan * classes_[request->asked.cls].usual) rescue(note.request);
-    }
+    const auto* request = find(note.request);
+    if (at != engines_.end()) at->second.heard = now_;
+    if (request == nullptr || note.attempt + 1U != request->attempts.size() || !request->out()) return;
+    const double age = secs(now_ - request->attempts.back().sent);
+    // A bad plan, or an engine far too slow: what is left takes longer than to begin anew elsewhere.
+    const bool slow = note.kind == NoteKind::progress && note.attempt == 0 && age > secs(kPlanLook) &&
+                      age / std::max(note.amount, 0.005) > kBadPlan * classes_[request->asked.cls].usual;
+    if (slow || (note.kind == NoteKind::waiting && note.amount > 1.5)) rescue(note.request);
   }
 
   // ---- what is known of an engine's load -----------------------------------------------------------------
@@ -601,7 +552,7 @@
       if (s_.load_fields[i] == LoadField::util && threads < 0)
         threads = load[i] * kThreadsAtFull * cores(engine);
     }
-    if (threads >= 0) take_report(engine, threads, now_);
+    if (threads >= 0) take_report(engine, threads, std::max(engine.reported, now_ - away_));
   }
 
   void take_report(Engine& engine, double threads, Time at) {
@@ -663,8 +614,7 @@
     }
   }
 
-  // Probes some of the engines that will be compared for a query, where reports of them are old; true: await
-  // them.
+  // Probes some of the engines to compare for a query, where reports of them are old. True: await them.
   bool look(Request& request, const std::vector<Engine*>& engines) {
     if (!s_.may_probe || s_.load_fields.empty() || now_ < request.look_until)
       return request.look_until > now_;
@@ -684,27 +634,22 @@
   }
 
   // Threads a query; a quiet gateway has seen few and leans on what the classes have on average.
-  [[nodiscard]] double mix() const {
-    double all = 0;
-    for (const auto& set : s_.classes) all += set.threads;
-    return (mix_threads_ + kMixPrior * all / static_cast<double>(s_.classes.size())) /
-           (mix_queries_ + kMixPrior);
-  }
+  double mix() const { return (mix_threads_ + kMixPrior * mean_threads_) / (mix_queries_ + kMixPrior); }
 
-  [[nodiscard]] bool crowded() const { return level() > kPassCrowd * ease_; }
+  bool crowded() const { return level() > kPassCrowd * ease_; }
   // Of the fleet, threads a core; below 0: nothing has told yet.
-  [[nodiscard]] double level() const { return level_ < 0 ? told_level_ : level_; }
+  double level() const { return level_ < 0 ? told_level_ : level_; }
 
   // Threads of all gateways on an engine, as something fresh tells; an engine that nothing fresh tells of is
   // taken to be like the others, never as empty: all gateways would run to the engines they know least of.
-  [[nodiscard]] std::optional<double> all_threads(const Engine& engine) const {
+  std::optional<double> all_threads(const Engine& engine) const {
     double others = 0;
     bool told = false;
     for (const auto& [from, peer] : peers_) {
       if (now_ > peer.first + kFresh) continue;
       told = true;
-      if (const auto at = peer.second.find(engine.entry.engine); at != peer.second.end())
-        others += at->second;
+      const auto at = peer.second.find(engine.entry.engine);
+      others += at == peer.second.end() ? 0 : at->second;
     }
     if (told) return others + engine.threads;
     const double level = this->level();
@@ -722,50 +667,42 @@
   }
 
   // ---- engine choice -----------------------------------------------------------------------------------
-  [[nodiscard]] double slowness(const Engine& engine) const {
-    if (engine.samples < kSlowSamples || median_pace_ <= 0) return 1;
-    const double slow = engine.pace / median_pace_;
-    return slow > kSlow ? slow : 1;
-  }
-
   // Room within this gateway's share of the engine, or past it while the engine answers at its usual speed.
-  [[nodiscard]] bool room(const Engine& engine, ClassIndex c) const {
+  bool room(const Engine& engine, ClassIndex c) const {
     const unsigned threads = s_.classes[c].threads;
     const double ease = ease_ * (c == rank_.front() ? 1 : few_ ? kLaterRanks : 1);
     if (cold(engine) && small_share(engine)) return true;  // its turns are fewer than its room
-    const double size = cores(engine) * warmth(engine, 0s) / slowness(engine);
+    const double size = cores(engine) * warmth(engine, 0s);
     const auto all = all_threads(engine);
     const double own = engine.threads + 0.5 * threads;
     if (all && *all + 0.5 * threads > kTopCrowd * ease * size) return false;
     if (own <= kThreadsPerCore * size / s_.gateways || engine.threads == 0) return true;
-    if (cold(engine) || slowness(engine) > 1 || own > kThreadsPerCore * size) return false;
+    if (cold(engine) || own > kThreadsPerCore * size) return false;
     if (all) return *all + 0.5 * threads <= kPassCrowd * ease * size;
     return engine.pace <= kUsualSpeed * std::max(1.0, std::min(median_pace_, 1.2));
   }
 
-  [[nodiscard]] bool healthy(const Request& request, Engine& engine) const {
-    if (engine.health == Health::well || (fleet_ill_ && !engine.down)) return true;
+  bool healthy(const Request& request, Engine& engine) const {
+    if (engine.health == Health::well) return true;
     if (engine.health == Health::resting && now_ >= engine.rest_until) engine.health = Health::trial;
     return engine.health == Health::trial && engine.queries == 0 && set(request).effect == Effect::safe;
   }
 
-  [[nodiscard]] double crowding(const Request& request, Engine& engine) {
+  double crowding(const Request& request, Engine& engine) {
     const auto& set = this->set(request);
     // Reports are late and every gateway reads the same: by them alone all would run to one engine at once.
     const double own = engine.threads * std::min<double>(s_.gateways, kOwnTimes);
     const double all = kOwnPart * own + (1 - kOwnPart) * all_threads(engine).value_or(own);
-    double score = (all + set.threads) * slowness(engine) / (cores(engine) * warmth(engine, 0s));
+    double score = (all + set.threads) / (cores(engine) * warmth(engine, 0s));
     if (s_.price_cross_zone > 0 && engine.entry.zone != s_.zone) score += kFarZone;
     if (!readers_wait_ && home(request.asked.data_group, engine)) score -= kWarmHome;
-    if (set.waits_for_group || set.holds_group) score += group_cost(set, request.asked.data_group, engine);
-    if (!request.attempts.empty() && request.attempts.back().engine == engine.entry.engine)
-      score += kHeldGroup;
-    return score;
+    if (set.waits_for_group && home(request.asked.data_group, engine)) score += kHomeKeepOff;
+    const bool again = !request.attempts.empty() && request.attempts.back().engine == engine.entry.engine;
+    return again ? score + kSameAgain : score;
   }
 
-  // Every gateway computes the same order of engines for a group, from ids alone: loads of a group go to its
-  // first engines, and what would stand still behind them stays away, though no gateway sees the others'
-  // loads.
+  // All gateways compute the same order of engines for a group, from ids alone: its loads go to the first
+  // ones, and what would stand still behind them stays away, though no gateway sees the others' loads.
   const std::vector<Engine*>& homes(std::int64_t group) {
     auto& homes = homes_[group];
     if (homes.empty()) {
@@ -781,20 +718,13 @@
     }
     return homes;
   }
-  [[nodiscard]] bool home(std::int64_t group, Engine& engine) {
+  bool home(std::int64_t group, Engine& engine) {
     const auto& all = homes(group);
     return std::find(all.begin(), all.end(), &engine) != all.end();
   }
 
-  [[nodiscard]] double group_cost(const ClassSettings& set, std::int64_t group, Engine& engine) {
-    const auto held = engine.held.find(group);
-    const bool is_held = engine.loads.contains(group) || (held != engine.held.end() && now_ < held->second);
-    return (is_held ? kHeldGroup : 0) + (set.waits_for_group && home(group, engine) ? kHomeKeepOff : 0);
-  }
-
-  // The engines to compare for a query: all of a small fleet; of a large one those of the newest reports and
-  // a few drawn at random, so that no engine draws all gateways at once and the cost doesn't grow with the
-  // fleet.
+  // The engines to compare: all of a small fleet; of a large one those of the newest reports and a few drawn
+  // at random, so that no engine draws all gateways at once and the cost doesn't grow with the fleet.
   const std::vector<Engine*>& candidates(const Request& request) {
     if (readers_wait_ && set(request).holds_group) return homes(request.asked.data_group);
     if (ready_.size() <= kLooks) return ready_;
@@ -824,13 +754,10 @@
     const auto& engines = candidates(request);
     if (look(request, engines)) return nullptr;
     for (auto* engine : engines) {
-      if (!healthy(request, *engine) || !room(*engine, request.asked.cls)) continue;
-      if (!may_send(request, *engine)) continue;
+      if (!healthy(request, *engine) || !room(*engine, request.asked.cls) || !may_send(request, *engine))
+        continue;
       const double score = crowding(request, *engine) + 0.01 * drawn();
-      if (best == nullptr || score < least) {
-        best = engine;
-        least = score;
-      }
+      if (best == nullptr || score < least) std::tie(best, least) = std::tuple(engine, score);
     }
     return best;
   }
@@ -975,19 +902,18 @@
   }
 
   // ---- tenants -------------------------------------------------------------------------------------------
-  [[nodiscard]] double share_rate(std::size_t t) const {
+  double share_rate(std::size_t t) const {
     return (crowded() ? 1 : kOverShareSlack) * s_.tenants[t].share * arrival_rate_;
   }
 
-  // A flood must not raise the share that it is measured against: past the first seconds the usual rate grows
-  // slowly, however much arrives.
+  // A flood must not raise the share that it is measured against: past the first periods the usual rate grows
+  // slowly, and not at all while the fleet is crowded.
   void measure_rates(double passed) {
-    if (passed <= 0) return;
+    const double rate = fresh_arrivals_ / passed;
     rate_age_ = std::min(rate_age_ + passed, kRateMemory);
-    double rate = fresh_arrivals_ / passed;
-    if (rate_age_ > kRateLearn)
-      rate = std::min(rate, (crowded() ? 1 : kRateGrowth) * arrival_rate_ + (crowded() ? 0 : 1 / passed));
-    arrival_rate_ += std::min(1.0, passed / rate_age_) * (rate - arrival_rate_);
+    const double most = crowded() ? arrival_rate_ : kRateGrowth * arrival_rate_ + 1 / passed;
+    arrival_rate_ +=
+        passed / rate_age_ * ((3 * passed < rate_age_ ? std::min(rate, most) : rate) - arrival_rate_);
     fresh_arrivals_ = 0;
   }
 
@@ -1014,23 +940,22 @@
   KeyTurns turns_;
   std::deque<Time> taken_, further_;
   std::map<std::uint32_t, std::pair<Time, std::map<EngineId, unsigned>>> peers_;
-  std::vector<double> tokens_;
-  double rate_age_ = 0, arrival_rate_ = 0, fresh_arrivals_ = 0, probe_tokens_ = 0;
-  bool started_ = false, fleet_ill_ = false, readers_wait_ = false;
-  std::vector<Engine*> ready_, compared_, invited_;  // in the order of their ids; of the last choice
-  std::set<EngineId> busy_;                          // with a query of this gateway out
+  std::vector<double> tokens_;  // by tenant
+  std::vector<Engine*> ready_, compared_,
+      invited_;              // in the order of their ids; of the last choice; cold, with a turn
+  std::set<EngineId> busy_;  // with a query of this gateway out
   std::map<std::int64_t, std::vector<Engine*>> homes_;
   std::deque<std::pair<Time, Engine*>> recent_;  // newest reports
   std::uint64_t look_ = 0;
-  bool fleet_changed_ = false, few_ = false;  // few: the pool holds few queries
-  unsigned widest_ = 1;                       // threads
-  double pool_ = 0, cores_ = 0, fleet_pace_ = 1;
-  double level_ = -1,
-         told_level_ = -1;  // threads a core, from gateways' own threads and from reports; -1: none
-  double tell_bytes_ = 0;
-  double mix_queries_ = 0, mix_threads_ = 0;  // out on the whole, of late
-  double median_pace_ = 0, ease_ = 1;         // ease: what the crowd limits are multiplied with
-  Time now_{}, sampled_{}, ticked_{}, told_{}, asked_again_{};
+  bool started_ = false, fleet_changed_ = false, readers_wait_ = false;
+  bool few_ = false;     // the pool holds few queries
+  unsigned widest_ = 1;  // threads of a query
+  double rate_age_ = 0, arrival_rate_ = 0, fresh_arrivals_ = 0, probe_tokens_ = 0, tell_bytes_ = 0;
+  double pool_ = 0, cores_ = 0, fleet_pace_ = 1, median_pace_ = 0;
+  double ease_ = 1;                      // what the crowd limits are multiplied with
+  double level_ = -1, told_level_ = -1;  // threads a core, by gateways and by reports; -1: none
+  double mean_threads_ = 0, mix_queries_ = 0, mix_threads_ = 0;  // of the classes; out on the whole, of late
+  Time now_{}, called_{}, away_{}, sampled_{}, ticked_{}, told_{}, asked_again_{};
   std::vector<Action>* out_ = nullptr;
 };
 
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -42,12 +42,11 @@
 
 struct Engine {
   EngineEntry entry;
-  bool ready = false, down = false;                  // down: connections fail, it may come back cold
+  bool ready = false;
   unsigned threads = 0, queries = 0;                 // of this gateway
   std::set<std::pair<RequestId, AttemptIndex>> out;  // of this gateway
   Health health = Health::well;
   Time rest_until{}, rest{};     // rest: the last one's length; 0: none since it was well
-  int trials = 0;                // answered since the rest
   double errors = 0;             // share of late
   double pace = 1, samples = 0;  // answer time against the class's usual one; answers it rests on
   Time heard{};
@@ -57,9 +56,7 @@
   std::deque<std::pair<Time, double>> cold_sends;
   double others = 0;  // threads of other gateways at the last report
   Time reported{}, probed{};
-  std::uint64_t looked = 0;           // the last comparison it took part in
-  std::map<std::int64_t, int> loads;  // own loads out, by group
-  std::map<std::int64_t, Time> held;  // groups seen held by a load, until when to believe it
+  std::uint64_t looked = 0;  // the last comparison it took part in
 };
 
 struct Class {
