--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -64,8 +64,6 @@
 constexpr std::size_t kLooks = 12;     // engines compared for one query, however many there are
 constexpr std::size_t kDraws = 2;      // of them drawn at random
 constexpr double kOwnTimes = 6;        // gateways whose share one's own threads speak for, at most
-constexpr double kMixMemory = 20;      // s, of the threads a query runs on
-constexpr double kMixPrior = 1;        // queries out that the classes' average counts as
 constexpr Time kTellPace = 200ms;      // between messages to the other gateways
 constexpr unsigned kTellAll = 10;   // gateways up to which each tells all others; above, reports go to a few
 constexpr double kTellBytes = 150;  // of these reports, a query
@@ -85,9 +83,8 @@
 constexpr Time kPlanLook = 900ms;     // an attempt is not judged by its progress before this
 constexpr double kBadPlan = 5;        // predicted length in usual answer times that tells a bad plan
 
-// Cold starts: a part of this gateway's even share, as the other gateways' traffic is not seen.
-constexpr double kColdPart = 0.9;
-constexpr double kTurnPart = 0.5;       // of what tips it over, for turns of all gateways together
+// Cold starts.
+constexpr double kTurnPart = 0.6;       // of what tips it over, for turns of all gateways together
 constexpr double kColdLevel = 0.5;      // of the fleet's level, that turns are taken to bring an engine to
 constexpr Time kTurn = 1s;              // how long a turn can be used
 constexpr double kTurnStep = 0.1;       // s; time without a call of its own brings a gateway no turns
@@ -346,19 +343,12 @@
     return s_.tip_multiple * warmth(engine, s_.tip_window) * kFullCapacity * cores(engine);
   }
 
-  // Within any window, a part of this gateway's even share of what tips a cold engine over. Where that share
-  // holds no query, this gateway has turns at moments drawn from its seed, so many that all gateways together
-  // stay under a part of the whole; a turn not used is lost, as all might use what they have saved at once.
-  bool cold_room(const Request& request, Engine& engine) const {
+  // An even share of this may hold no query, so gateways have turns at moments drawn from their seeds, so
+  // many that all together stay under a part of the whole; a turn not used is lost, as all might use what
+  // they have saved at once.
+  bool cold_room(const Request& request, const Engine& engine) const {
     if (s_.tip_multiple <= 0 || !cold(engine)) return true;
-    while (!engine.cold_sends.empty() && engine.cold_sends.front().first < now_ - s_.tip_window)
-      engine.cold_sends.pop_front();
-    const double work = classes_[request.asked.cls].work;
-    if (small_share(engine)) return now_ < engine.turn_until && work <= engine.turn_left;
-    double sum = work;
-    for (const auto& [at, sent] : engine.cold_sends) sum += sent;
-    const double most = kColdPart * cold_rate(engine) * secs(s_.tip_window) / s_.gateways;
-    return sum <= most || (engine.cold_sends.empty() && sum <= 2 * most);
+    return now_ < engine.turn_until && classes_[request.asked.cls].work <= engine.turn_left;
   }
 
   double heaviest() const {
@@ -366,18 +356,14 @@
                             [](const Class& a, const Class& b) { return a.work < b.work; })
         ->work;
   }
-  bool small_share(const Engine& engine) const {
-    return kColdPart * cold_rate(engine) * secs(s_.tip_window) < heaviest() * s_.gateways;
-  }
-
   void draw_turns(double passed) {
     for (auto* engine : ready_) {
-      if (s_.tip_multiple <= 0 || !cold(*engine) || !small_share(*engine)) continue;
-      const double turns =
-          kTurnPart * cold_rate(*engine) * std::min(passed, kTurnStep) / s_.gateways / heaviest();
-      if (drawn() >= turns) continue;
+      if (s_.tip_multiple <= 0 || !cold(*engine)) continue;
+      const double share = kTurnPart * cold_rate(*engine) / s_.gateways,
+                   work = std::max(heaviest(), share * secs(kTurn));
+      if (drawn() >= std::min(passed, kTurnStep) * share / work) continue;
       engine->turn_until = now_ + kTurn;
-      engine->turn_left = heaviest();
+      engine->turn_left = work;
       invited_.push_back(engine);
     }
   }
@@ -394,7 +380,6 @@
       put(Terms{request.asked.request, kGrant * cls.memory,
                 request.asked.cls == rank_.front() ? kFirst : kUsual});
     put(Send{request.asked.request, engine.entry.engine, request.deadline - kAnswerEarly});
-    if (cold(engine)) engine.cold_sends.push_back({now_, cls.work});
     engine.turn_left -= cls.work;
     if (engine.out.empty()) engine.heard = now_;
     engine.out.insert({request.asked.request, static_cast<AttemptIndex>(request.attempts.size())});
@@ -548,7 +533,7 @@
     double threads = -1;
     for (std::size_t i = 0; i < load.size(); ++i) {
       if (s_.load_fields[i] == LoadField::inflight)
-        threads = std::max(0.0, load[i] - engine.queries) * mix() + engine.threads;
+        threads = std::max(0.0, load[i] - engine.queries) * mean_threads_ + engine.threads;
       if (s_.load_fields[i] == LoadField::util && threads < 0)
         threads = load[i] * kThreadsAtFull * cores(engine);
     }
@@ -633,9 +618,6 @@
     return request.look_until > now_;
   }
 
-  // Threads a query; a quiet gateway has seen few and leans on what the classes have on average.
-  double mix() const { return (mix_threads_ + kMixPrior * mean_threads_) / (mix_queries_ + kMixPrior); }
-
   bool crowded() const { return level() > kPassCrowd * ease_; }
   // Of the fleet, threads a core; below 0: nothing has told yet.
   double level() const { return level_ < 0 ? told_level_ : level_; }
@@ -671,7 +653,7 @@
   bool room(const Engine& engine, ClassIndex c) const {
     const unsigned threads = s_.classes[c].threads;
     const double ease = ease_ * (c == rank_.front() ? 1 : few_ ? kLaterRanks : 1);
-    if (cold(engine) && small_share(engine)) return true;  // its turns are fewer than its room
+    if (cold(engine)) return true;  // its turns are fewer than its room
     const double size = cores(engine) * warmth(engine, 0s);
     const auto all = all_threads(engine);
     const double own = engine.threads + 0.5 * threads;
@@ -848,7 +830,6 @@
       finish(requests_.at(deadlines_.begin()->second));
     drop_overdue();
     for (const auto id : std::vector(busy_.begin(), busy_.end())) watch_silence(engines_.at(id));
-    measure_mix(passed);
     draw_turns(passed);
     tell_peers();
     if (now_ >= sampled_ + kPeriod) {
@@ -880,17 +861,6 @@
     }
   }
 
-  void measure_mix(double passed) {
-    const double weight = std::min(1.0, passed / kMixMemory);
-    double queries = 0, threads = 0;
-    for (std::size_t c = 0; c < classes_.size(); ++c) {
-      threads += classes_[c].running;
-      queries += classes_[c].running / s_.classes[c].threads;
-    }
-    mix_queries_ += weight * (queries - mix_queries_);
-    mix_threads_ += weight * (threads - mix_threads_);
-  }
-
   void measure_pace() {
     std::vector<double> paces;
     for (const auto* engine : ready_) {
@@ -954,7 +924,7 @@
   double pool_ = 0, cores_ = 0, fleet_pace_ = 1, median_pace_ = 0;
   double ease_ = 1;                      // what the crowd limits are multiplied with
   double level_ = -1, told_level_ = -1;  // threads a core, by gateways and by reports; -1: none
-  double mean_threads_ = 0, mix_queries_ = 0, mix_threads_ = 0;  // of the classes; out on the whole, of late
+  double mean_threads_ = 0;              // a query, over the classes
   Time now_{}, called_{}, away_{}, sampled_{}, ticked_{}, told_{}, asked_again_{};
   std::vector<Action>* out_ = nullptr;
 };
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -53,7 +53,6 @@
   Time cold_since{};  // 0: warm
   Time turn_until{};  // while cold: this gateway's turn, and core-seconds left of it
   double turn_left = 0;
-  std::deque<std::pair<Time, double>> cold_sends;
   double others = 0;  // threads of other gateways at the last report
   Time reported{}, probed{};
   std::uint64_t looked = 0;  // the last comparison it took part in
