--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -37,12 +37,11 @@
 constexpr double kTopCrowd = 2.2;    // threads a core, all gateways: even the pool's share is held back
 constexpr double kFewQueries = 4;    // of the widest class: a pool for fewer can't keep the ranks by budgets;
 constexpr double kLaterRanks = 0.7;  // then all but the first class stop at this part of both crowd limits
-constexpr double kJamPace = 1.5;     // median pace that tells the fleet is past its peak;
+constexpr double kJamPace = 1.5;     // pace that tells the fleet is past its peak;
 constexpr double kJamPaceRanked = 2.2;  // where priorities keep the short classes quick in a crowd
 constexpr double kLeastEase = 0.5;      // of the crowd limits, at the least
 constexpr double kEaseDown = 0.85, kEaseUp = 0.05;  // a period
 constexpr double kUsualSpeed = 1.5;   // answer time against the usual: up to here an engine is at usual speed
-constexpr double kSlowSamples = 8;    // answers before a pace is believed
 constexpr double kPaceStep = 0.1;     // weight of one answer in an engine's pace
 constexpr double kLevelStep = 0.1;    // weight of one report in the fleet's level, threads a core
 constexpr double kFleetStep = 0.04;   // weight of one answer in the fleet's pace
@@ -56,6 +55,7 @@
 constexpr double kGrant = 3.2;                  // memory granted, in needs of late as answers told them
 constexpr double kWarmHome = 0.3;      // threads a core that a group's homes may be fuller by: warm data
 constexpr Time kFresh = 2500ms;        // older load reports tell nothing
+constexpr Time kLevelLife = 5s;        // without a report for so long, nothing is known of the fleet's level
 constexpr double kReportLife = 1.5;    // s in which a report loses weight to the fleet's level
 constexpr Time kProbeAge = 300ms;      // a report older than this is worth a probe
 constexpr Time kProbeWait = 40ms;      // a query waits this long for the probes made for it
@@ -201,7 +201,7 @@
   void begin_cold(Engine& engine, Time since) {
     engine.cold_since = since;
     engine.health = Health::well;
-    engine.errors = engine.samples = 0;
+    engine.errors = 0;
     engine.pace = 1;
     engine.rest = Time::zero();
   }
@@ -458,10 +458,8 @@
     // Where the work is told, an answer's own length is taken out of its pace.
     const double measure = took / (outcome.work ? std::max(0.02, work / threads) : cls.base);
     learn_base(cls, took);
-    ++engine.samples;
     fleet_pace_ += kFleetStep * (std::clamp(measure, 0.2, 8.0) - fleet_pace_);
-    const double step = std::max(kPaceStep, 1 / engine.samples);
-    engine.pace += step * (std::clamp(measure, 0.2, 8.0) - engine.pace);
+    engine.pace += kPaceStep * (std::clamp(measure, 0.2, 8.0) - engine.pace);
   }
 
   // The usual answer time falls quickly and rises slowly, so that a jam is not soon taken for usual.
@@ -537,7 +535,12 @@
       if (s_.load_fields[i] == LoadField::util && threads < 0)
         threads = load[i] * kThreadsAtFull * cores(engine);
     }
-    if (threads >= 0) take_report(engine, threads, std::max(engine.reported, now_ - away_));
+    if (threads >= 0) take_told(engine, threads, std::max(engine.reported, now_ - away_));
+  }
+
+  void take_told(Engine& engine, double threads, Time at) {
+    take_report(engine, threads, at);
+    take_level(told_level_, threads / cores(engine), kLevelStep);
   }
 
   void take_report(Engine& engine, double threads, Time at) {
@@ -545,8 +548,11 @@
     engine.others = std::max(0.0, threads - engine.threads);
     recent_.push_front({at, &engine});
     if (recent_.size() > kLooks) recent_.pop_back();
-    const double told = threads / cores(engine);
-    told_level_ = told_level_ < 0 ? told : told_level_ + kLevelStep * (told - told_level_);
+  }
+
+  void take_level(double& level, double told, double step) {
+    level = this->level() < 0 || level < 0 ? told : level + step * (told - level);
+    level_at_ = now_;
   }
 
   void on(const ProbeResult& probe) {
@@ -565,12 +571,12 @@
       return;
     }
     const double level = text->threads * s_.gateways / std::max(1.0, cores_);
-    level_ = level_ < 0 ? level : level_ + kPeerStep * (level - level_);
+    take_level(level_, level, kPeerStep);
     for (const auto& entry : text->entries) {
       const auto at = engines_.find(entry.engine);
       const Time told = now_ - entry.age * kTick;
       if (at != engines_.end() && at->second.ready && told > at->second.reported)
-        take_report(at->second, entry.value / 32.0 * cores(at->second), told);
+        take_told(at->second, entry.value / 32.0 * cores(at->second), told);
     }
   }
 
@@ -620,7 +626,7 @@
 
   bool crowded() const { return level() > kPassCrowd * ease_; }
   // Of the fleet, threads a core; below 0: nothing has told yet.
-  double level() const { return level_ < 0 ? told_level_ : level_; }
+  double level() const { return now_ > level_at_ + kLevelLife ? -1 : level_ < 0 ? told_level_ : level_; }
 
   // Threads of all gateways on an engine, as something fresh tells; an engine that nothing fresh tells of is
   // taken to be like the others, never as empty: all gateways would run to the engines they know least of.
@@ -635,11 +641,12 @@
     }
     if (told) return others + engine.threads;
     const double level = this->level();
-    if (level < 0) return std::nullopt;
+    const bool fresh = engine.reported > Time::zero() && now_ <= engine.reported + kFresh;
+    if (level < 0) return fresh ? std::optional(engine.others + engine.threads) : std::nullopt;
     // A cold engine is filled by turns, under the fleet's level.
     const double usual = std::max<double>(
         engine.threads, (cold(engine) ? kColdLevel : 1) * level * cores(engine) * warmth(engine, 0s));
-    if (engine.reported == Time::zero() || now_ > engine.reported + kFresh) return usual;
+    if (!fresh) return usual;
     const double weight = std::exp(-secs(now_ - engine.reported) / kReportLife);
     if (level_ < 0) return weight * (engine.others + engine.threads) + (1 - weight) * usual;
     // Reports that end at "all busy", and fall when disks jam, only tell engines apart round the level that
@@ -661,7 +668,7 @@
     if (own <= kThreadsPerCore * size / s_.gateways || engine.threads == 0) return true;
     if (cold(engine) || own > kThreadsPerCore * size) return false;
     if (all) return *all + 0.5 * threads <= kPassCrowd * ease * size;
-    return engine.pace <= kUsualSpeed * std::max(1.0, std::min(median_pace_, 1.2));
+    return engine.pace <= kUsualSpeed * std::max(1.0, std::min(fleet_pace_, 1.2));
   }
 
   bool healthy(const Request& request, Engine& engine) const {
@@ -787,7 +794,7 @@
   // A fleet slower than usual has passed its peak, wherever that lies with the mix of the day: fewer at once.
   void ease() {
     if (s_.priorities && !few_) return;
-    const bool jam = median_pace_ > (s_.priorities ? kJamPaceRanked : kJamPace);
+    const bool jam = fleet_pace_ > (s_.priorities ? kJamPaceRanked : kJamPace);
     ease_ = jam ? std::max(kLeastEase, ease_ * kEaseDown) : std::min(1.0, ease_ + kEaseUp);
   }
 
@@ -835,7 +842,6 @@
     if (now_ >= sampled_ + kPeriod) {
       measure_rates(secs(now_ - sampled_));
       sampled_ = now_;
-      measure_pace();
       sample();
     }
     forget_old();
@@ -861,16 +867,6 @@
     }
   }
 
-  void measure_pace() {
-    std::vector<double> paces;
-    for (const auto* engine : ready_) {
-      if (engine->samples >= kSlowSamples) paces.push_back(engine->pace);
-    }
-    median_pace_ = fleet_pace_;  // few answers from each engine: all of them together tell
-    if (2 * paces.size() < ready_.size() || paces.empty()) return;
-    median_pace_ = median(std::move(paces));
-  }
-
   // ---- tenants -------------------------------------------------------------------------------------------
   double share_rate(std::size_t t) const {
     return (crowded() ? 1 : kOverShareSlack) * s_.tenants[t].share * arrival_rate_;
@@ -921,11 +917,11 @@
   bool few_ = false;     // the pool holds few queries
   unsigned widest_ = 1;  // threads of a query
   double rate_age_ = 0, arrival_rate_ = 0, fresh_arrivals_ = 0, probe_tokens_ = 0, tell_bytes_ = 0;
-  double pool_ = 0, cores_ = 0, fleet_pace_ = 1, median_pace_ = 0;
+  double pool_ = 0, cores_ = 0, fleet_pace_ = 1;
   double ease_ = 1;                      // what the crowd limits are multiplied with
   double level_ = -1, told_level_ = -1;  // threads a core, by gateways and by reports; -1: none
   double mean_threads_ = 0;              // a query, over the classes
-  Time now_{}, called_{}, away_{}, sampled_{}, ticked_{}, told_{}, asked_again_{};
+  Time now_{}, called_{}, away_{}, sampled_{}, ticked_{}, told_{}, asked_again_{}, level_at_{};
   std::vector<Action>* out_ = nullptr;
 };
 
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -46,9 +46,9 @@
   unsigned threads = 0, queries = 0;                 // of this gateway
   std::set<std::pair<RequestId, AttemptIndex>> out;  // of this gateway
   Health health = Health::well;
-  Time rest_until{}, rest{};     // rest: the last one's length; 0: none since it was well
-  double errors = 0;             // share of late
-  double pace = 1, samples = 0;  // answer time against the class's usual one; answers it rests on
+  Time rest_until{}, rest{};  // rest: the last one's length; 0: none since it was well
+  double errors = 0;          // share of late
+  double pace = 1;            // answer time against the class's usual one
   Time heard{};
   Time cold_since{};  // 0: warm
   Time turn_until{};  // while cold: this gateway's turn, and core-seconds left of it
@@ -101,12 +101,6 @@
   return x ^ (x >> 31);
 }
 
-inline double median(std::vector<double> values) {  // of one value or more
-  const auto middle = values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
-  std::nth_element(values.begin(), middle, values.end());
-  return *middle;
-}
-
 void check(const Settings& settings);  // throws std::invalid_argument naming a senseless field
 
 // What gateways tell each other, numbers with their low byte first: 'o', then for each engine its id (4
