--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -67,7 +67,9 @@
 constexpr Time kTellPace = 200ms;   // between messages to the other gateways
 constexpr unsigned kTellAll = 10;   // gateways up to which each tells all others; above, reports go to a few
 constexpr double kTellBytes = 150;  // of these reports, a query
-constexpr double kPeerStep = 0.03;  // weight of one gateway's threads in the fleet's level
+constexpr double kLeastRate = 0.2;  // queries a second that a gateway is taken to have, at the least
+constexpr unsigned kPeersNeeded = 10;  // messages before the gateways' own threads tell the fleet's level
+constexpr double kPeerStep = 0.03;     // weight of one gateway's threads in the fleet's level
 constexpr double kApart = 0.5;  // of what a report differs from the others, where it only tells engines apart
 constexpr double kCrowdAtFull = 4;      // threads a core of an engine that turned a query away, at the least
 constexpr double kThreadsAtFull = 1.6;  // threads a core that "all cores busy" stands for
@@ -285,8 +287,7 @@
   bool may_refuse(const Request& request) const {
     if (request.asked.cls >= classes_.size() || set(request).effect == Effect::safe) return true;
     if (set(request).effect == Effect::keyed && set(request).group == RepeatGroup::all) return true;
-    return std::all_of(request.attempts.begin(), request.attempts.end(),
-                       [](const Attempt& a) { return a.proven_unrun(); });
+    return std::ranges::all_of(request.attempts, &Attempt::proven_unrun);
   }
 
   bool may_send(const Request& request, Engine& engine) {
@@ -340,11 +341,8 @@
     return now_ < engine.turn_until && classes_[request.asked.cls].work <= engine.turn_left;
   }
 
-  double heaviest() const {
-    return std::max_element(classes_.begin(), classes_.end(),
-                            [](const Class& a, const Class& b) { return a.work < b.work; })
-        ->work;
-  }
+  double heaviest() const { return std::ranges::max_element(classes_, {}, &Class::work)->work; }
+
   void draw_turns(double passed) {
     for (auto* engine : ready_) {
       if (s_.tip_multiple <= 0 || !cold(*engine)) continue;
@@ -409,9 +407,8 @@
 
   // A request whose attempt failed: back to the head of its queue where another attempt may come, else ended.
   void again(Request& request) {
-    const bool can = std::any_of(engines_.begin(), engines_.end(), [&](auto& e) {
-      return e.second.ready && placed(request, e.second) && repeat_allowed(request, e.second);
-    });
+    const auto may = [&](const Engine* e) { return placed(request, *e) && repeat_allowed(request, *e); };
+    const bool can = std::ranges::any_of(ready_, may);
     if (!can || request.attempts.size() >= s_.max_attempts || !within_retry_budget()) return finish(request);
     hold(request, true);
   }
@@ -530,7 +527,9 @@
 
   void take_told(Engine& engine, double threads, Time at) {
     take_report(engine, threads, at);
-    take_level(told_level_, threads / cores(engine), kLevelStep);
+    const double told = threads / cores(engine);
+    told_level_ = level() < 0 ? told : told_level_ + kLevelStep * (told - told_level_);
+    level_at_ = now_;
   }
 
   void take_report(Engine& engine, double threads, Time at) {
@@ -540,11 +539,6 @@
     if (recent_.size() > kLooks) recent_.pop_back();
   }
 
-  void take_level(double& level, double told, double step) {
-    level = this->level() < 0 || level < 0 ? told : level + step * (told - level);
-    level_at_ = now_;
-  }
-
   void on(const ProbeResult& probe) {
     const auto at = engines_.find(probe.engine);
     if (at != engines_.end() && probe.result == Result::served) take_load(at->second, probe.load);
@@ -560,8 +554,14 @@
       for (const auto& entry : text->entries) peers_[message.from].second[entry.engine] = entry.value;
       return;
     }
-    const double level = text->threads * s_.gateways / std::max(1.0, cores_);
-    take_level(level_, level, kPeerStep);
+    // Busy gateways tell more often: each message weighs as the time between two of its sender's queries.
+    const double gap = 1 / std::max(kLeastRate, text->rate / 16.0);
+    const double step = std::max(kPeerStep, 1.0 / ++peers_heard_);
+    peer_gap_ += step * (gap - peer_gap_);
+    peer_threads_ += step * (gap * text->threads - peer_threads_);
+    level_at_ = now_;
+    if (peers_heard_ >= kPeersNeeded)
+      level_ = peer_threads_ / peer_gap_ * s_.gateways / std::max(1.0, cores_);
     for (const auto& entry : text->entries) {
       const auto at = engines_.find(entry.engine);
       const Time told = now_ - entry.age * kTick;
@@ -580,6 +580,7 @@
       return put(Tell{std::nullopt, encode(text)});
     }
     for (const auto& cls : classes_) text.threads += cls.running;
+    text.rate = static_cast<unsigned>(arrival_rate_ * 16);
     for (const auto& [at, engine] : recent_) {
       const auto age = (now_ - at) / kTick;
       const double value = (engine->others + engine->threads) / cores(*engine) * 32;
@@ -689,18 +690,13 @@
         if (!rested(*engine)) homes.push_back(engine);
       }
       const auto count = std::min(homes.size(), std::max(kHomes, ready_.size() / kHomePart));
-      std::partial_sort(homes.begin(), homes.begin() + static_cast<std::ptrdiff_t>(count), homes.end(),
-                        [group](const Engine* a, const Engine* b) {
-                          return spread(group, a->entry.engine) < spread(group, b->entry.engine);
-                        });
+      const auto order = [group](const Engine* engine) { return spread(group, engine->entry.engine); };
+      std::ranges::partial_sort(homes, homes.begin() + static_cast<std::ptrdiff_t>(count), {}, order);
       homes.resize(count);
     }
     return homes;
   }
-  bool home(std::int64_t group, Engine& engine) {
-    const auto& all = homes(group);
-    return std::find(all.begin(), all.end(), &engine) != all.end();
-  }
+  bool home(std::int64_t group, Engine& engine) { return std::ranges::count(homes(group), &engine) > 0; }
 
   // The engines to compare: all of a small fleet; of a large one those of the newest reports and a few drawn
   // at random, so that no engine draws all gateways at once and the cost doesn't grow with the fleet.
@@ -908,7 +904,9 @@
   unsigned widest_ = 1;  // threads of a query
   double rate_age_ = 0, arrival_rate_ = 0, fresh_arrivals_ = 0, probe_tokens_ = 0, tell_bytes_ = 0;
   double pool_ = 0, cores_ = 0, fleet_pace_ = 1;
-  double ease_ = 1;                      // what the crowd limits are multiplied with
+  double ease_ = 1;  // what the crowd limits are multiplied with
+  double peer_gap_ = 0, peer_threads_ = 0;
+  unsigned peers_heard_ = 0;
   double level_ = -1, told_level_ = -1;  // threads a core, by gateways and by reports; -1: none
   double mean_threads_ = 0;              // a query, over the classes
   Time now_{}, called_{}, away_{}, sampled_{}, ticked_{}, told_{}, asked_again_{}, level_at_{};
--- a/src/state.cpp
+++ b/src/state.cpp
@@ -39,7 +39,8 @@
 
 std::string encode(const PeerText& text) {
   std::string bytes = text.reports ? "r" : "o";
-  if (text.reports) add(bytes, std::min(text.threads, 0xffffU), 2);
+  for (const unsigned value : {text.threads, text.rate})
+    if (text.reports) add(bytes, std::min(value, 0xffffU), 2);
   for (const auto& entry : text.entries) {
     if (bytes.size() + 6 > kMostBytes) break;
     add(bytes, entry.engine, 4);
@@ -52,11 +53,11 @@
 std::optional<PeerText> decode(const std::string& bytes) {
   PeerText text;
   text.reports = !bytes.empty() && bytes[0] == 'r';
-  const std::size_t head = text.reports ? 3 : 1, size = text.reports ? 6 : 5;
+  const std::size_t head = text.reports ? 5 : 1, size = text.reports ? 6 : 5;
   const bool known = text.reports || (!bytes.empty() && bytes[0] == 'o');
   if (!known || bytes.size() > kMostBytes || bytes.size() < head || (bytes.size() - head) % size != 0)
     return std::nullopt;
-  if (text.reports) text.threads = number(bytes, 1, 2);
+  if (text.reports) text.threads = number(bytes, 1, 2), text.rate = number(bytes, 3, 2);
   for (std::size_t i = head; i < bytes.size(); i += size)
     text.entries.push_back(
         {number(bytes, i, 4), number(bytes, i + 4, 1), text.reports ? number(bytes, i + 5, 1) : 0});
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -104,15 +104,16 @@
 void check(const Settings& settings);  // throws std::invalid_argument naming a senseless field
 
 // What gateways tell each other, numbers with their low byte first: 'o', then for each engine its id (4
-// bytes) and own threads there (1); or 'r', own threads in all (2), then for each report the engine (4), its
-// threads a core in 32nds (1) and the report's age in ticks (1). Text of other lengths is no message at all.
+// bytes) and own threads there (1); or 'r', own threads in all and queries a second in 16ths (2 each), then
+// for each report the engine (4), its threads a core in 32nds (1) and the report's age in ticks (1). Text of
+// other lengths is no message at all.
 struct PeerEntry {
   EngineId engine = 0;
   unsigned value = 0, age = 0;
 };
 struct PeerText {
   bool reports = false;
-  unsigned threads = 0;
+  unsigned threads = 0, rate = 0;
   std::vector<PeerEntry> entries;
 };
 std::string encode(const PeerText& text);  // leaves out entries that would pass 256 bytes
