--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -70,7 +70,7 @@
 constexpr double kLeastRate = 0.2;  // queries a second that a gateway is taken to have, at the least
 constexpr unsigned kPeersNeeded = 10;  // messages before the gateways' own threads tell the fleet's level
 constexpr double kPeerStep = 0.03;     // weight of one gateway's threads in the fleet's level
-constexpr double kApart = 0.5;  // of what a report differs from the others, where it only tells engines apart
+constexpr double kApart = 0.25;  // of what a report differs from the others, where it only tells engines apart
 constexpr double kCrowdAtFull = 4;      // threads a core of an engine that turned a query away, at the least
 constexpr double kThreadsAtFull = 1.6;  // threads a core that "all cores busy" stands for
 
