--- a/tests/failures_test.cpp
+++ b/tests/failures_test.cpp
@@ -340,6 +340,44 @@
   EXPECT_EQ(choice("?" + on_seven.substr(1)), untold);
 }
 
+TEST(ManyGateways, LaterRanksStopEarlierSoThatTheFirstClassFindsRoom) {
+  // Traffic has turned to a heavy class for good: the fleet stands between both limits.
+  Settings s = plain_settings();
+  s.gateways = 100;
+  s.may_probe = true;
+  s.load_fields = {LoadField::inflight};
+  Drive d(s);
+  d.list({engine(7), engine(8)});
+  for (EngineId id : {7U, 8U}) {
+    ProbeResult probe;
+    probe.engine = id;
+    probe.load = {7.0};  // 1.75 threads a core
+    d.at(d.now, {probe});
+  }
+  d.ask(1, 1);
+  d.ask(2, 0);
+  d.until(d.now + 60ms);
+  EXPECT_EQ(d.sends_of(1), 0);
+  EXPECT_EQ(d.sends_of(2), 1);
+}
+
+TEST(LostAnswers, AnEngineThatAnswersOthersIsNotRestedAndTheLostAreSettledInTime) {
+  Settings s = plain_settings();
+  s.max_attempts = 1;
+  Drive d(s);
+  d.list({engine(7)});
+  const auto start = d.now;
+  for (RequestId id = 1; id <= 40; ++id) {
+    d.ask(id, 0);
+    ASSERT_EQ(d.sends_of(id), 1) << "still trusted at " << id;
+    if (id % 10 != 0) d.ends(id, 0, 7, Result::served);
+    if (id % 10 == 0) d.ask(100 + id, 0), d.ends(100 + id, 0, 7, Result::served);
+    d.until(d.now + 100ms);
+  }
+  d.until(start + 10s);
+  for (RequestId id = 10; id <= 40; id += 10) EXPECT_EQ(d.answers(id), 1);
+}
+
 TEST(Absence, AGatewayThatHadNoTurnBlamesNoEngineAndSettlesWhatIsOverdue) {
   Settings s = plain_settings();
   s.progress_pace = 500ms;
