--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <random>
+#include <ranges>
 #include <tuple>
 
 #include "heronwell/gateway.hpp"
@@ -60,7 +61,7 @@
 constexpr Time kProbeAge = 300ms;    // a report older than this is worth a probe
 constexpr Time kProbeWait = 40ms;    // a query waits this long for the probes made for it
 constexpr double kProbesPerQuery = 1, kProbesSaved = 20;  // at most
-constexpr double kProbesHeavy = 4;  // for one heavy query; others leave so many to the next heavy one
+constexpr int kProbesHeavy = 4;     // for one heavy query; others leave so many to the next heavy one
 constexpr std::size_t kLooks = 12;  // engines compared for one query, however many there are
 constexpr std::size_t kDraws = 2;   // of them drawn at random
 constexpr double kOwnTimes = 6;     // gateways whose share one's own threads speak for, at most
@@ -70,7 +71,8 @@
 constexpr double kLeastRate = 0.2;  // queries a second that a gateway is taken to have, at the least
 constexpr unsigned kPeersNeeded = 10;  // messages before the gateways' own threads tell the fleet's level
 constexpr double kPeerStep = 0.03;     // weight of one gateway's threads in the fleet's level
-constexpr double kApart = 0.25;  // of what a report differs from the others, where it only tells engines apart
+constexpr double kApart =
+    0.25;  // of what a report differs from the others, where it only tells engines apart
 constexpr double kCrowdAtFull = 4;      // threads a core of an engine that turned a query away, at the least
 constexpr double kThreadsAtFull = 1.6;  // threads a core that "all cores busy" stands for
 
@@ -129,13 +131,10 @@
     if (!started_) start();
     // It had no turn for a while: no engine was silent meanwhile, and what it now hears is as old.
     for (const auto id : busy_) engines_.at(id).heard += away_;
-    bool only_notes = true;  // these free nothing
-    for (const auto& event : events) {
-      std::visit([this](const auto& e) { on(e); }, event);
-      only_notes = only_notes && std::holds_alternative<Note>(event);
-    }
+    for (const auto& event : events) std::visit([this](const auto& e) { on(e); }, event);
+    const auto is_note = [](const Event& event) { return std::holds_alternative<Note>(event); };
     if (fleet_changed_) refresh();
-    if (only_notes) return;
+    if (std::ranges::all_of(events, is_note) && !events.empty()) return;  // these free nothing
     fill_budgets();
     release();
   }
@@ -147,7 +146,6 @@
   [[nodiscard]] double pool() const { return pool_; }
 
  private:
-  // ---- settings and start ------------------------------------------------------------------------------
   void start() {
     started_ = true;
     sampled_ = ticked_ = told_ = now_;
@@ -596,22 +594,24 @@
     }
   }
 
-  // Probes some of the engines to compare for a query, where reports of them are old. True: await them.
+  // True: a probe went out, as reports of the engine are old and there are probes to spare.
+  bool probe(Engine& engine, double spare) {
+    const bool old = now_ >= std::max(engine.reported, engine.probed) + kProbeAge;
+    if (!s_.may_probe || s_.load_fields.empty() || !old || probe_tokens_ < 1 + spare) return false;
+    engine.probed = now_;
+    probe_tokens_ -= 1;
+    put(Probe{engine.entry.engine});
+    return true;
+  }
+
+  // Probes some of the engines to compare for a query. True: await them. Where the pool holds many queries
+  // there are probes enough to keep all reports fresh instead.
   bool look(Request& request, const std::vector<Engine*>& engines) {
-    if (!s_.may_probe || s_.load_fields.empty() || now_ < request.look_until)
-      return request.look_until > now_;
-    if (request.look_until > Time::zero() && (few_ || now_ < request.look_until + kProbeAge)) return false;
+    if (!few_ || request.look_until > Time::zero()) return few_ && request.look_until > now_;
     request.look_until = now_;
     const bool heavy = 2 * classes_[request.asked.cls].work > heaviest();
-    double left = heavy ? kProbesHeavy : 1;
-    for (auto* engine : engines) {
-      if (--left < 0 || probe_tokens_ < (heavy ? 1 : kProbesHeavy)) break;
-      if (now_ < std::max(engine->reported, engine->probed) + kProbeAge) continue;
-      engine->probed = now_;
-      probe_tokens_ -= 1;
-      put(Probe{engine->entry.engine});
-      request.look_until = now_ + kProbeWait;
-    }
+    for (auto* engine : engines | std::views::take(heavy ? kProbesHeavy : 1))
+      if (probe(*engine, heavy ? 0 : kProbesHeavy - 1)) request.look_until = now_ + kProbeWait;
     return request.look_until > now_;
   }
 
@@ -823,6 +823,7 @@
       finish(requests_.at(deadlines_.begin()->second));
     drop_overdue();
     for (const auto id : std::vector(busy_.begin(), busy_.end())) watch_silence(engines_.at(id));
+    for (auto* engine : few_ ? std::vector<Engine*>() : ready_) probe(*engine, 0);
     draw_turns(passed);
     tell_peers();
     if (now_ >= sampled_ + kPeriod) {
