What came while a gateway had no turn is settled at once if it can't be in time

A stalled gateway sent a heap of queries that were late already. It also holds against any delay before this gateway; it does harm if clients' own time left varies, so it acts only after an absence.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -159,7 +159,6 @@
     put(Trace{"engine " + std::to_string(engine.entry.engine) + " " + what});
   }
 
-  // ---- the list of engines -----------------------------------------------------------------------------
   void on(const Listing& list) {
     if (list.kind == ListKind::failed) asked_again_ = now_ + 1s;
     if (list.kind == ListKind::full || list.kind == ListKind::cached) {
@@ -213,7 +212,6 @@
     return s_.cold_from + (1 - s_.cold_from) * std::min(1.0, age);
   }
 
-  // ---- requests ----------------------------------------------------------------------------------------
   void on(const Arrival& asked) {
     taken_.push_back(now_);
     ++fresh_arrivals_;
@@ -226,9 +224,22 @@
     if (asked.cls >= classes_.size()) return finish(request);
     if (in_order(request)) turns_.join(asked.order_key, asked.request);
     if (over_share(asked) && (!classes_[asked.cls].queue.empty() || crowded())) return finish(request);
+    if (too_late(asked)) return finish(request);
     hold(request, false);
   }
 
+  // What came while this gateway had no turn has waited already, as its time left tells: what can't be
+  // answered within its aim any more is settled at once, so that no burst of such work follows.
+  bool too_late(const Arrival& asked) {
+    auto& cls = classes_[asked.cls];
+    if (away_ == Time::zero()) cls.most_left = std::max(cls.most_left, asked.time_left);
+    const double waited = secs(std::clamp(cls.most_left - asked.time_left, Time::zero(), away_));
+    return waited > 0 && waited + cls.usual > whole_aim(asked.cls);
+  }
+  double whole_aim(ClassIndex c) const {
+    return secs(s_.classes[c].aim) + s_.classes[c].aim_stretch * classes_[c].base;
+  }
+
   void hold(Request& request, bool first) {
     auto& queue = classes_[request.asked.cls].queue;
     request.held = true;
@@ -378,7 +389,6 @@
     return true;
   }
 
-  // ---- outcomes ----------------------------------------------------------------------------------------
   void on(const Outcome& outcome) {
     auto* request = find(outcome.request);
     const auto at = engines_.find(outcome.engine);
@@ -456,7 +466,6 @@
     cls.block = cls.blocked = 0;
   }
 
-  // ---- health ------------------------------------------------------------------------------------------
   // Guards against engines that error at once (they look fast and roomy), reset, or swallow queries.
   void judge_failed(Engine& engine, double step) {
     engine.errors += step * (1 - engine.errors);
@@ -646,7 +655,6 @@
     return std::max<double>(engine.threads, usual + apart * cores(engine));
   }
 
-  // ---- engine choice -----------------------------------------------------------------------------------
   // Room within this gateway's share of the engine, or past it while the engine answers at its usual speed.
   bool room(const Engine& engine, ClassIndex c) const {
     const unsigned threads = s_.classes[c].threads;
@@ -737,7 +745,6 @@
     return best;
   }
 
-  // ---- release by budget and rank ------------------------------------------------------------------------
   void release() {
     while (release_one(true) || release_one(false)) {
     }
@@ -767,12 +774,11 @@
 
   // ---- the control loop ----------------------------------------------------------------------------------
   void fill_budgets() {
-    const double all = pool();
-    double left = all;
+    double left = pool_;
     for (const auto c : rank_) {
       auto& cls = classes_[c];
       const double least = s_.classes[c].threads;
-      cls.budget = std::max(least, std::min(std::clamp(cls.u, least, std::max(least, all)), left));
+      cls.budget = std::max(least, std::min(std::clamp(cls.u, least, std::max(least, pool_)), left));
       left = std::max(0.0, left - cls.budget);
     }
   }
@@ -789,7 +795,6 @@
     const double all = pool();
     double sum = 0;
     for (const auto& cls : classes_) sum += cls.u;
-    const bool saturated = sum > all;
     for (const auto c : rank_) {
       auto& cls = classes_[c];
       const double aim = kWaitAim * secs(s_.classes[c].aim);
@@ -799,7 +804,7 @@
         ++count;
       }
       const double error = std::max(-kMostError, (aim - (count > 0 ? waits / count : 0)) / aim);
-      const double before = saturated ? cls.budget : cls.u;
+      const double before = sum > all ? cls.budget : cls.u;
       const double least = s_.classes[c].threads;
       cls.u = std::clamp(before + kGain * kGainPool * all * (error - kZero * cls.error), least,
                          std::max(least, all));
@@ -808,7 +813,6 @@
     }
   }
 
-  // ---- clocks --------------------------------------------------------------------------------------------
   void on(const Wake&) {
     if (now_ < ticked_ + kTick) return;
     const double passed = secs(now_ - ticked_);
@@ -845,8 +849,8 @@
   void drop_overdue() {
     for (const auto c : rank_) {
       const auto& set = s_.classes[c];
-      const double whole = secs(set.aim) + set.aim_stretch * classes_[c].base;  // the aim grows with the work
-      const Time most = span(std::max(kHoldShare * secs(set.aim), kHoldShare * whole - classes_[c].usual));
+      const Time most =
+          span(std::max(kHoldShare * secs(set.aim), kHoldShare * whole_aim(c) - classes_[c].usual));
       for (const auto id : std::vector(classes_[c].queue.begin(), classes_[c].queue.end())) {
         auto& request = requests_.at(id);
         if (now_ - request.queued > most) finish(request);
@@ -854,7 +858,6 @@
     }
   }
 
-  // ---- tenants -------------------------------------------------------------------------------------------
   double share_rate(std::size_t t) const {
     return (crowded() ? 1 : kOverShareSlack) * s_.tenants[t].share * arrival_rate_;
   }
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -60,6 +60,7 @@
 
 struct Class {
   std::deque<RequestId> queue;
+  Time most_left{};                           // longest time left that a query came with
   unsigned running = 0;                       // threads
   double u = 0;                               // U(m), threads
   double budget = 0;                          // what filling by rank left of it
--- a/tests/failures_test.cpp
+++ b/tests/failures_test.cpp
@@ -397,6 +397,26 @@
   EXPECT_EQ(d.called_off.size(), 2U) << "silence that it did see is still told";
 }
 
+TEST(Absence, WhatWaitedMeanwhileIsSettledAtOnceIfItCantBeInTime) {
+  Drive d(plain_settings());
+  d.list({engine(7), engine(8)});
+  d.ask(1, 0);  // comes with 5 s left, as all do
+  d.ends(1, 0, d.sends.back().engine, Result::served);
+  d.now += 2s;
+  Arrival old, young;
+  old.request = 2;
+  old.time_left = 3200ms;
+  young.request = 3;
+  young.time_left = 4900ms;
+  d.at(d.now, {old, young});
+  EXPECT_EQ(d.answers(2), 1);
+  EXPECT_EQ(d.sends_of(2), 0);
+  EXPECT_EQ(d.sends_of(3), 1);
+  d.until(d.now + 100ms);
+  d.ask(4, 0, 3200ms);  // with a turn in time, little time left is the client's own choice
+  EXPECT_EQ(d.sends_of(4), 1);
+}
+
 TEST(Tenants, AFloodDoesNotRaiseTheShareThatItIsMeasuredAgainst) {
   Settings s = plain_settings();
   s.over_share_worth = 0.05;
