--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -2,6 +2,7 @@
 // what is remembered, src/state.hpp.
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 #include <random>
 #include <ranges>
 #include <tuple>
@@ -71,9 +72,14 @@
 constexpr double kLeastRate = 0.2;  // queries a second that a gateway is taken to have, at the least
 constexpr unsigned kPeersNeeded = 10;  // messages before the gateways' own threads tell the fleet's level
 constexpr double kPeerStep = 0.03;     // weight of one gateway's threads in the fleet's level
-constexpr double kApart =
-    0.25;  // of what a report differs from the others, where it only tells engines apart
-constexpr double kCrowdAtFull = 4;      // threads a core of an engine that turned a query away, at the least
+constexpr double kApart = 0.25;        // of what a report differs from the others, believed at the least
+constexpr double kScatter = 1.5;  // variance of the queries told of an engine, over their mean: up to here
+                                  // gateways that fill engines evenly by good reports would see it
+constexpr double kMostScatter = 30, kScatterStep = 0.05;  // that one report counts for; weight of one
+constexpr double kLeastBlur = 0.01,
+                 kBlur = 2.0;       // threads a core that an engine may seem fuller by, where reports mislead
+constexpr double kOwnMemory = 5.0;  // s, of this gateway's own threads and queries
+constexpr double kCrowdAtFull = 4;  // threads a core of an engine that turned a query away, at the least
 constexpr double kThreadsAtFull = 1.6;  // threads a core that "all cores busy" stands for
 
 // Health.
@@ -112,6 +118,7 @@
       mean_threads_ += set.threads / static_cast<double>(s_.classes.size());
       readers_wait_ = readers_wait_ || set.waits_for_group;
     }
+    own_threads_ = mean_threads_;
     std::stable_sort(rank_.begin(), rank_.end(), [this](ClassIndex a, ClassIndex b) {
       const auto &x = s_.classes[a], &y = s_.classes[b];
       return x.aim != y.aim ? x.aim < y.aim : x.worth > y.worth;
@@ -525,7 +532,7 @@
     double threads = -1;
     for (std::size_t i = 0; i < load.size(); ++i) {
       if (s_.load_fields[i] == LoadField::inflight)
-        threads = std::max(0.0, load[i] - engine.queries) * mean_threads_ + engine.threads;
+        threads = std::max(0.0, load[i] - engine.queries) * threads_a_query() + engine.threads;
       if (s_.load_fields[i] == LoadField::util && threads < 0)
         threads = load[i] * kThreadsAtFull * cores(engine);
     }
@@ -535,6 +542,11 @@
   void take_told(Engine& engine, double threads, Time at) {
     take_report(engine, threads, at);
     const double told = threads / cores(engine);
+    if (level() >= 0) {
+      const double usual = std::max(1.0, told_level_ * cores(engine) / threads_a_query());
+      const double off = std::pow(threads / threads_a_query() - usual, 2) / usual;
+      scatter_ += kScatterStep * (std::min(off, kMostScatter) - scatter_);
+    }
     told_level_ = level() < 0 ? told : told_level_ + kLevelStep * (told - told_level_);
     level_at_ = now_;
   }
@@ -586,7 +598,7 @@
       for (const auto id : busy_) text.entries.push_back({id, engines_.at(id).threads});
       return put(Tell{std::nullopt, encode(text)});
     }
-    for (const auto& cls : classes_) text.threads += cls.running;
+    text.threads = static_cast<unsigned>(running());
     text.rate = static_cast<unsigned>(arrival_rate_ * 16);
     for (const auto& [at, engine] : recent_) {
       const auto age = (now_ - at) / kTick;
@@ -648,13 +660,43 @@
     const double usual = std::max<double>(
         engine.threads, (cold(engine) ? kColdLevel : 1) * level * cores(engine) * warmth(engine, 0s));
     if (!fresh) return usual;
-    if (level_ < 0) return weight * (engine.others + engine.threads) + (1 - weight) * usual;
     // Reports that end at "all busy", and fall when disks jam, only tell engines apart round the level that
     // the gateways' own threads add up to.
+    if (level_ < 0)
+      return std::max<double>(engine.threads,
+                              swing() * usual + trust() * weight * (engine.others + engine.threads - usual));
     const double apart = kApart * weight * (engine.others / cores(engine) - told_level_);
     return std::max<double>(engine.threads, usual + apart * cores(engine));
   }
 
+  // Of what a report differs from the fleet's level, the part to believe. Where many gateways go by reports
+  // that are old when they come, all fill the engines that were empty, and keep off those that were full: the
+  // reports then lie further apart than chance would have them. Engines that really differ (slow, jammed)
+  // look the same; they are still told apart by a quarter.
+  double trust() const { return few_ ? std::clamp(kScatter / scatter_, kApart, 1.0) : 1; }
+
+  // A level told by old reports lags, and all gateways overshoot together. Their own threads show it at once:
+  // what this gateway runs beyond its usual number, all are taken to.
+  double swing() const {
+    const double usual = std::max(1.0, own_threads_ - mean_threads_);
+    return 1 + (1 - trust()) * std::clamp((running() - usual) / usual, -1.0, 1.0);
+  }
+
+  double running() const {  // threads
+    return std::accumulate(classes_.begin(), classes_.end(), 0.0,
+                           [](double sum, const Class& cls) { return sum + cls.running; });
+  }
+
+  // Of the queries that run, as this gateway's own tell of late: which classes are let in changes it.
+  double threads_a_query() const { return own_threads_ / own_queries_; }
+  void remember_own(double passed) {
+    double queries = 1;  // one of a mean class is added, so that a gateway that runs none knows some mix
+    for (std::size_t c = 0; c < classes_.size(); ++c) queries += classes_[c].running / s_.classes[c].threads;
+    const double step = std::min(1.0, passed / kOwnMemory);
+    own_threads_ += step * (running() + mean_threads_ - own_threads_);
+    own_queries_ += step * (queries - own_queries_);
+  }
+
   // Room within this gateway's share of the engine, or past it while the engine answers at its usual speed.
   bool room(const Engine& engine, ClassIndex c) const {
     const unsigned threads = s_.classes[c].threads;
@@ -739,7 +781,7 @@
     for (auto* engine : engines) {
       if (!healthy(request, *engine) || !room(*engine, request.asked.cls) || !may_send(request, *engine))
         continue;
-      const double score = crowding(request, *engine) + 0.01 * drawn();
+      const double score = crowding(request, *engine) + (kLeastBlur + kBlur * (1 - trust())) * drawn();
       if (best == nullptr || score < least) std::tie(best, least) = std::tuple(engine, score);
     }
     return best;
@@ -823,6 +865,7 @@
       put(Observe{true});
     }
     fill_tokens(passed);
+    remember_own(passed);
     while (!deadlines_.empty() && deadlines_.begin()->first <= now_)
       finish(requests_.at(deadlines_.begin()->second));
     drop_overdue();
@@ -911,8 +954,10 @@
   double ease_ = 1;  // what the crowd limits are multiplied with
   double peer_gap_ = 0, peer_threads_ = 0;
   unsigned peers_heard_ = 0;
-  double level_ = -1, told_level_ = -1;  // threads a core, by gateways and by reports; -1: none
-  double mean_threads_ = 0;              // a query, over the classes
+  double level_ = -1, told_level_ = -1;       // threads a core, by gateways and by reports; -1: none
+  double mean_threads_ = 0;                   // a query, over the classes
+  double own_threads_ = 0, own_queries_ = 1;  // of late, with one query of a mean class on top
+  double scatter_ = 1;                        // of reports, see kScatter
   Time now_{}, called_{}, away_{}, sampled_{}, ticked_{}, told_{}, asked_again_{}, level_at_{};
   std::vector<Action>* out_ = nullptr;
 };
