--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -78,7 +78,7 @@
 constexpr double kMostScatter = 30, kScatterStep = 0.05;  // that one report counts for; weight of one
 constexpr double kLeastBlur = 0.01,
                  kBlur = 2.0;       // threads a core that an engine may seem fuller by, where reports mislead
-constexpr double kOwnMemory = 5.0;  // s, of this gateway's own threads and queries
+constexpr double kOwnMemory = 5.0;  // s, of the threads that run here
 constexpr double kCrowdAtFull = 4;  // threads a core of an engine that turned a query away, at the least
 constexpr double kThreadsAtFull = 1.6;  // threads a core that "all cores busy" stands for
 
@@ -118,7 +118,6 @@
       mean_threads_ += set.threads / static_cast<double>(s_.classes.size());
       readers_wait_ = readers_wait_ || set.waits_for_group;
     }
-    own_threads_ = mean_threads_;
     std::stable_sort(rank_.begin(), rank_.end(), [this](ClassIndex a, ClassIndex b) {
       const auto &x = s_.classes[a], &y = s_.classes[b];
       return x.aim != y.aim ? x.aim < y.aim : x.worth > y.worth;
@@ -532,7 +531,7 @@
     double threads = -1;
     for (std::size_t i = 0; i < load.size(); ++i) {
       if (s_.load_fields[i] == LoadField::inflight)
-        threads = std::max(0.0, load[i] - engine.queries) * threads_a_query() + engine.threads;
+        threads = std::max(0.0, load[i] - engine.queries) * mean_threads_ + engine.threads;
       if (s_.load_fields[i] == LoadField::util && threads < 0)
         threads = load[i] * kThreadsAtFull * cores(engine);
     }
@@ -543,8 +542,8 @@
     take_report(engine, threads, at);
     const double told = threads / cores(engine);
     if (level() >= 0) {
-      const double usual = std::max(1.0, told_level_ * cores(engine) / threads_a_query());
-      const double off = std::pow(threads / threads_a_query() - usual, 2) / usual;
+      const double usual = std::max(1.0, told_level_ * cores(engine) / mean_threads_);
+      const double off = std::pow(threads / mean_threads_ - usual, 2) / usual;
       scatter_ += kScatterStep * (std::min(off, kMostScatter) - scatter_);
     }
     told_level_ = level() < 0 ? told : told_level_ + kLevelStep * (told - told_level_);
@@ -678,7 +677,7 @@
   // A level told by old reports lags, and all gateways overshoot together. Their own threads show it at once:
   // what this gateway runs beyond its usual number, all are taken to.
   double swing() const {
-    const double usual = std::max(1.0, own_threads_ - mean_threads_);
+    const double usual = std::max(1.0, own_threads_);
     return 1 + (1 - trust()) * std::clamp((running() - usual) / usual, -1.0, 1.0);
   }
 
@@ -687,16 +686,6 @@
                            [](double sum, const Class& cls) { return sum + cls.running; });
   }
 
-  // Of the queries that run, as this gateway's own tell of late: which classes are let in changes it.
-  double threads_a_query() const { return own_threads_ / own_queries_; }
-  void remember_own(double passed) {
-    double queries = 1;  // one of a mean class is added, so that a gateway that runs none knows some mix
-    for (std::size_t c = 0; c < classes_.size(); ++c) queries += classes_[c].running / s_.classes[c].threads;
-    const double step = std::min(1.0, passed / kOwnMemory);
-    own_threads_ += step * (running() + mean_threads_ - own_threads_);
-    own_queries_ += step * (queries - own_queries_);
-  }
-
   // Room within this gateway's share of the engine, or past it while the engine answers at its usual speed.
   bool room(const Engine& engine, ClassIndex c) const {
     const unsigned threads = s_.classes[c].threads;
@@ -865,7 +854,7 @@
       put(Observe{true});
     }
     fill_tokens(passed);
-    remember_own(passed);
+    own_threads_ += std::min(1.0, passed / kOwnMemory) * (running() - own_threads_);
     while (!deadlines_.empty() && deadlines_.begin()->first <= now_)
       finish(requests_.at(deadlines_.begin()->second));
     drop_overdue();
@@ -954,10 +943,10 @@
   double ease_ = 1;  // what the crowd limits are multiplied with
   double peer_gap_ = 0, peer_threads_ = 0;
   unsigned peers_heard_ = 0;
-  double level_ = -1, told_level_ = -1;       // threads a core, by gateways and by reports; -1: none
-  double mean_threads_ = 0;                   // a query, over the classes
-  double own_threads_ = 0, own_queries_ = 1;  // of late, with one query of a mean class on top
-  double scatter_ = 1;                        // of reports, see kScatter
+  double level_ = -1, told_level_ = -1;  // threads a core, by gateways and by reports; -1: none
+  double mean_threads_ = 0;              // a query, over the classes
+  double own_threads_ = 0;               // that run here, of late
+  double scatter_ = 1;                   // of reports, see kScatter
   Time now_{}, called_{}, away_{}, sampled_{}, ticked_{}, told_{}, asked_again_{}, level_at_{};
   std::vector<Action>* out_ = nullptr;
 };
