--- a/tests/failures_test.cpp
+++ b/tests/failures_test.cpp
@@ -340,6 +340,55 @@
   EXPECT_EQ(choice("?" + on_seven.substr(1)), untold);
 }
 
+// One of many gateways, told of twenty engines of 16 cores again and again.
+Drive told_by_reports(bool apart, double queries, int rounds) {
+  Settings s = plain_settings();
+  s.gateways = 200;
+  s.kinds = {{"one", 16, 0}};
+  s.load_fields = {LoadField::inflight};
+  Drive d(s);
+  std::vector<EngineEntry> engines;
+  for (EngineId id = 1; id <= 20; ++id) engines.push_back(engine(id));
+  d.list(engines);
+  for (int round = 0; round < rounds; ++round) {
+    d.until(d.now + 500ms);
+    for (EngineId id = 1; id <= 20; ++id) {
+      ProbeResult p;
+      p.engine = id;
+      p.load = {apart ? (id % 2 == 0 ? 0.0 : 2 * queries) : (id == 20 ? queries / 2 : queries)};
+      d.at(d.now, {p});
+    }
+  }
+  return d;
+}
+
+// Reports came seconds late: all gateways filled the engines that had been empty, again and again.
+TEST(OldReports, ThatLieFarApartAreBelievedInPartOnly) {
+  Drive good = told_by_reports(false, 20, 5), bad = told_by_reports(true, 20, 5);
+  int emptiest = 0, full = 0;
+  for (RequestId id = 1; id <= 100; ++id) {
+    for (auto* d : {&good, &bad}) {
+      d->ask(id, 0, 5s, 0, id);
+      ASSERT_EQ(d->sends_of(id), 1);
+      d->ends(id, 0, d->sends.back().engine, Result::served);
+    }
+    emptiest += good.sends.back().engine == 20 ? 1 : 0;
+    full += bad.sends.back().engine % 2 == 1 ? 1 : 0;
+  }
+  EXPECT_GT(emptiest, 90) << "reports that agree tell where room is";
+  EXPECT_GE(full, 5) << "else what was full a while ago may be empty now";
+  EXPECT_LT(full, 50);
+}
+
+TEST(OldReports, AGatewaysOwnThreadsShowThatAllOvershoot) {
+  for (const bool apart : {false, true}) {
+    Drive d = told_by_reports(apart, 28, 10);
+    const auto before = d.sends.size();
+    for (RequestId id = 1; id <= 6; ++id) d.ask(id, 0, 5s, 0, id);  // far more than it has run of late
+    EXPECT_EQ(d.sends.size() - before, apart ? 2U : 6U);
+  }
+}
+
 TEST(ManyGateways, LaterRanksStopEarlierSoThatTheFirstClassFindsRoom) {
   // Traffic has turned to a heavy class for good: the fleet stands between both limits.
   Settings s = plain_settings();
