--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -85,6 +85,7 @@
 // Health.
 constexpr double kErrorStep = 0.25;  // weight of one outcome in an engine's error share
 constexpr double kErrorTop = 0.4;    // error share at which an engine is rested: two errors in a row
+constexpr Time kAliveSoon = 500ms;   // no process ends and begins anew in less
 constexpr Time kFirstRest = 1s, kMostRest = 4s;  // before the first trial; doubled at each failed one
 constexpr double kSilentAnswers = 6;  // answers overdue, by usual times, before silence is believed
 constexpr double kSilentEach = 3;     // of them for one attempt: a single long query is no silence
@@ -201,6 +202,7 @@
   // A process that has just begun: what was known of its health, pace and load is void.
   void begin_cold(Engine& engine, Time since) {
     engine.cold_since = since;
+    engine.broke = Time::zero();
     engine.health = Health::well;
     engine.errors = 0;
     engine.pace = 1;
@@ -434,13 +436,26 @@
     if (result == Result::turned_away)
       return take_report(engine, kCrowdAtFull * cores(engine), engine.heard = now_);
     if (result != Result::not_connected && result != Result::reset) return;
-    engine.cold_since = now_;  // its process may have ended, and begin anew before any list tells
-    result == Result::reset ? judge_failed(engine, 2 * kErrorStep) : rest(engine, "takes no connections");
+    // Its process may have ended, and begin anew before any list tells.
+    if (engine.broke == Time::zero()) engine.cold_before = engine.cold_since;
+    engine.cold_since = now_;
+    engine.broke = result == Result::reset ? now_ : Time::zero();
+    if (result == Result::not_connected) return rest(engine, "takes no connections");
+    judge_failed(engine, ask(engine) ? kErrorStep : 2 * kErrorStep);
+  }
+
+  // A process that is heard so soon after a broken connection has not ended: only the connection, or the
+  // answer, was lost. Without this, answers lost all over the fleet made every engine look cold.
+  void alive(Engine& engine, Time at) {
+    if (engine.broke == Time::zero() || at <= engine.broke) return;
+    if (at <= engine.broke + kAliveSoon) engine.cold_since = engine.cold_before;
+    engine.broke = Time::zero();
   }
 
   void judge_served(Engine& engine, ClassIndex c, const Outcome& outcome) {
     auto& cls = classes_[c];
     engine.heard = now_;
+    alive(engine, now_);
     engine.errors -= kErrorStep * engine.errors;
     if (engine.health == Health::trial) {
       engine.health = Health::well;
@@ -559,7 +574,11 @@
 
   void on(const ProbeResult& probe) {
     const auto at = engines_.find(probe.engine);
-    if (at != engines_.end() && probe.result == Result::served) take_load(at->second, probe.load);
+    if (at == engines_.end()) return;
+    auto& engine = at->second;
+    if (probe.result != Result::served) return engine.broke > Time::zero() ? rest(engine, "is down") : void();
+    alive(engine, now_);
+    take_load(engine, probe.load);
   }
 
   // Few gateways tell all others their own threads; many tell a few, drawn at random, the newest reports they
@@ -583,8 +602,9 @@
     for (const auto& entry : text->entries) {
       const auto at = engines_.find(entry.engine);
       const Time told = now_ - entry.age * kTick;
-      if (at != engines_.end() && at->second.ready && told > at->second.reported)
-        take_told(at->second, entry.value / 32.0 * cores(at->second), told);
+      if (at == engines_.end() || !at->second.ready || told <= at->second.reported) continue;
+      alive(at->second, told);
+      take_told(at->second, entry.value / 32.0 * cores(at->second), told);
     }
   }
 
@@ -617,7 +637,10 @@
   // True: a probe went out, as reports of the engine are old and there are probes to spare.
   bool probe(Engine& engine, double spare) {
     const bool old = now_ >= std::max(engine.reported, engine.probed) + kProbeAge;
-    if (!s_.may_probe || s_.load_fields.empty() || !old || probe_tokens_ < 1 + spare) return false;
+    return old && !s_.load_fields.empty() && probe_tokens_ >= 1 + spare && ask(engine);
+  }
+  bool ask(Engine& engine) {
+    if (!s_.may_probe || probe_tokens_ < 1) return false;
     engine.probed = now_;
     probe_tokens_ -= 1;
     put(Probe{engine.entry.engine});
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -50,8 +50,9 @@
   double errors = 0;          // share of late
   double pace = 1;            // answer time against the class's usual one
   Time heard{};
-  Time cold_since{};  // 0: warm
-  Time turn_until{};  // while cold: this gateway's turn, and core-seconds left of it
+  Time cold_since{};            // 0: warm
+  Time broke{}, cold_before{};  // last broken connection, unless it was heard since; cold_since before it
+  Time turn_until{};            // while cold: this gateway's turn, and core-seconds left of it
   double turn_left = 0;
   double others = 0;  // threads of other gateways at the last report
   Time reported{}, probed{};
