--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -679,23 +679,23 @@
     const double weight = std::exp(-secs(now_ - engine.reported) / kReportLife);
     if (level < 0) return fresh ? std::optional(weight * engine.others + engine.threads) : std::nullopt;
     // A cold engine is filled by turns, under the fleet's level.
-    const double usual = std::max<double>(
-        engine.threads, (cold(engine) ? kColdLevel : 1) * level * cores(engine) * warmth(engine, 0s));
-    if (!fresh) return usual;
-    // Reports that end at "all busy", and fall when disks jam, only tell engines apart round the level that
-    // the gateways' own threads add up to.
-    if (level_ < 0)
-      return std::max<double>(engine.threads,
-                              swing() * usual + trust() * weight * (engine.others + engine.threads - usual));
-    const double apart = kApart * weight * (engine.others / cores(engine) - told_level_);
-    return std::max<double>(engine.threads, usual + apart * cores(engine));
+    const double usual = (cold(engine) ? kColdLevel : 1) * level * cores(engine) * warmth(engine, 0s);
+    // Round the level that the gateways' own threads add up to, reports only tell engines apart.
+    const double apart = !fresh       ? 0
+                         : level_ < 0 ? engine.others + engine.threads - usual
+                                      : engine.others - told_level_ * cores(engine);
+    return std::max<double>(engine.threads, swing() * usual + trust() * weight * apart);
   }
 
   // Of what a report differs from the fleet's level, the part to believe. Where many gateways go by reports
   // that are old when they come, all fill the engines that were empty, and keep off those that were full: the
   // reports then lie further apart than chance would have them. Engines that really differ (slow, jammed)
-  // look the same; they are still told apart by a quarter.
-  double trust() const { return few_ ? std::clamp(kScatter / scatter_, kApart, 1.0) : 1; }
+  // look the same; they are still told apart by a quarter. So are they where utilisation is all that is told:
+  // it ends at "all busy", and falls when disks jam.
+  double trust() const {
+    if (level_ >= 0) return kApart;
+    return few_ ? std::clamp(kScatter / scatter_, kApart, 1.0) : 1;
+  }
 
   // A level told by old reports lags, and all gateways overshoot together. Their own threads show it at once:
   // what this gateway runs beyond its usual number, all are taken to.
--- a/tests/failures_test.cpp
+++ b/tests/failures_test.cpp
@@ -239,6 +239,38 @@
   EXPECT_TRUE(d.called_off.empty());
 }
 
+// Answers were lost all over the fleet, with a reset each: every engine was taken to have begun anew, and
+// work came only by cold turns.
+TEST(Unreachable, AnEngineHeardSoonAfterAResetHasNotBegunAnew) {
+  for (const Time answer : {5ms, 900ms}) {  // no answer for so long: the process may have ended meanwhile
+    Settings s = plain_settings();
+    s.gateways = 40;
+    s.may_probe = true;
+    s.load_fields = {LoadField::inflight};
+    Drive d(s);
+    d.list({engine(7)});
+    d.ask(1, 0);
+    d.until(d.now + 60ms);
+    ASSERT_EQ(d.sends_of(1), 1);
+    Outcome o;
+    o.request = 1;
+    o.engine = 7;
+    o.result = Result::reset;
+    const auto actions = d.at(d.now, {o});
+    const auto asked = [](const Action& a) { return std::holds_alternative<Probe>(a); };
+    EXPECT_TRUE(std::ranges::any_of(actions, asked)) << "asked at once whether it is there";
+    d.until(d.now + answer);
+    ProbeResult p;
+    p.engine = 7;
+    p.result = Result::served;
+    p.load = {1.0};
+    d.at(d.now, {p});
+    for (RequestId id = 2; id < 10; ++id) d.ask(id, 0);
+    d.until(d.now + 60ms);
+    EXPECT_EQ(d.sends.size() > 3, answer < 500ms);
+  }
+}
+
 TEST(Unreachable, AnEngineThatBreaksConnectionsIsTakenForColdByAllGateways) {
   for (const auto result : {Result::not_connected, Result::reset}) {
     int tried = 0, early = 0;
