--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -700,6 +700,7 @@
   // A level told by old reports lags, and all gateways overshoot together. Their own threads show it at once:
   // what this gateway runs beyond its usual number, all are taken to.
   double swing() const {
+    if (level_ >= 0) return 1;  // the gateways' messages are fresh
     const double usual = std::max(1.0, own_threads_);
     return 1 + (1 - trust()) * std::clamp((running() - usual) / usual, -1.0, 1.0);
   }
