--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -77,7 +77,7 @@
                                   // gateways that fill engines evenly by good reports would see it
 constexpr double kMostScatter = 30, kScatterStep = 0.05;  // that one report counts for; weight of one
 constexpr double kLeastBlur = 0.01,
-                 kBlur = 2.0;       // threads a core that an engine may seem fuller by, where reports mislead
+                 kBlur = 4.0;       // threads a core that an engine may seem fuller by, where reports mislead
 constexpr double kOwnMemory = 5.0;  // s, of the threads that run here
 constexpr double kCrowdAtFull = 4;  // threads a core of an engine that turned a query away, at the least
 constexpr double kThreadsAtFull = 1.6;  // threads a core that "all cores busy" stands for
