--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -71,7 +71,7 @@
 constexpr double kTellBytes = 150;  // of these reports, a query
 constexpr double kLeastRate = 0.2;  // queries a second that a gateway is taken to have, at the least
 constexpr unsigned kPeersNeeded = 10;  // messages before the gateways' own threads tell the fleet's level
-constexpr double kPeerStep = 0.03;     // weight of one gateway's threads in the fleet's level
+constexpr double kPeerStep = 0.1;      // weight of one message: a level must follow a restart within seconds
 constexpr double kApart = 0.25;        // of what a report differs from the others, believed at the least
 constexpr double kScatter = 1.5;  // variance of the queries told of an engine, over their mean: up to here
                                   // gateways that fill engines evenly by good reports would see it
--- a/tests/failures_test.cpp
+++ b/tests/failures_test.cpp
@@ -421,6 +421,46 @@
   }
 }
 
+// A quarter of the fleet restarted: what ran there was gone, yet the level stayed high and all was refused.
+TEST(ManyGateways, TheLevelByMessagesFollowsWithinTwentyMessages) {
+  Settings s = plain_settings();
+  s.gateways = 40;
+  s.may_tell = true;
+  s.load_fields = {LoadField::util};
+  Drive other(s), d(s, 2);
+  std::vector<EngineEntry> engines;
+  for (EngineId id = 1; id <= 5; ++id) engines.push_back(engine(id));
+  for (auto* each : {&other, &d}) each->list(engines);
+  const auto message = [&other] {  // what the other gateway says now
+    for (RequestId id = 100; id < 110; ++id)
+      other.ask(id, 5);  // of no class: refused, but they pay for bytes
+    for (int tick = 0; tick < 50; ++tick) {
+      for (const auto& action : other.at(other.wake, {Wake{}}))
+        if (const auto* tell = std::get_if<Tell>(&action)) return tell->bytes;
+    }
+    return std::string();
+  };
+  for (RequestId id = 1; id <= 3; ++id) other.ask(id, 0);
+  ASSERT_EQ(other.sends.size(), 3U);
+  const auto busy = message();
+  const auto sent = other.sends;
+  for (const auto& send : sent) other.ends(send.request, 0, send.engine, Result::served);
+  const auto idle = message();
+  ASSERT_NE(busy, idle);
+  const auto tell = [&d](const std::string& bytes) {
+    PeerMessage m;
+    m.from = 1;
+    m.bytes = bytes;
+    d.at(d.now, {m});
+  };
+  for (int i = 0; i < 30; ++i) tell(busy);
+  d.ask(1, 0);
+  EXPECT_EQ(d.sends.size(), 0U) << "six threads a core by messages";
+  for (int i = 0; i < 20; ++i) tell(idle);
+  d.ask(2, 0);
+  EXPECT_GT(d.sends.size(), 0U);
+}
+
 TEST(ManyGateways, LaterRanksStopEarlierSoThatTheFirstClassFindsRoom) {
   // Traffic has turned to a heavy class for good: the fleet stands between both limits.
   Settings s = plain_settings();
