--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -1,5 +1,4 @@
-// All decisions of heronwell. The interface (settings, events, actions) is include/heronwell/gateway.hpp;
-// what is remembered, src/state.hpp.
+// All decisions. The interface is include/heronwell/gateway.hpp; what is remembered, src/state.hpp.
 #include <algorithm>
 #include <cmath>
 #include <random>
@@ -74,8 +73,8 @@
 constexpr unsigned kPeersNeeded = 10;  // messages before the gateways' own threads tell the fleet's level
 constexpr double kPeerStep = 0.1;      // weight of one message: a level must follow a restart within seconds
 constexpr double kApart = 0.25;        // of what a report differs from the others, believed at the least
-constexpr double kScatter = 1.5;  // variance of the queries told of an engine, over their mean: up to here
-                                  // gateways that fill engines evenly by good reports would see it
+constexpr double kScatter =
+    1.5;  // variance of the queries told of an engine, over their mean, if all is well
 constexpr double kMostScatter = 30, kScatterStep = 0.05;  // that one report counts for; weight of one
 constexpr double kLeastBlur = 0.01;     // threads a core that an engine may seem fuller by; and at most,
 constexpr double kBlur = 4.0;           // where reports mislead
@@ -97,8 +96,8 @@
 constexpr double kMedianStep = 0.1;   // of the typical answer time that one answer moves it by
 constexpr double kLeastSize = 0.2, kMostSize = 40;  // of a query by its estimate, in its class's usual ones
 
-constexpr double kSizeCrowd = 1.05;  // threads a core above which the largest query taken gets smaller,
-constexpr double kSizeGain = 3;      // by so many times the part that the level is off, a second
+constexpr double kSizeCrowd = 1.1;  // threads a core above which the largest query taken gets smaller,
+constexpr double kSizeGain = 3;     // by so many times the part that the level is off, a second
 
 // Second copies, where they are allowed.
 constexpr double kCopyAfter = 3;     // typical answer times of such a query before a copy is sent
@@ -247,7 +246,7 @@
     copy_work_ = std::min(copy_work_ + kCopyPart * classes_[asked.cls].work, kCopiesSaved * heaviest());
     if (over_share(asked) && (!classes_[asked.cls].queue.empty() || crowded())) return finish(request);
     if (too_late(asked)) return finish(request);
-    if (request.size > most_size_ || foretold(request) > secs(asked.time_left)) return finish(request);
+    if (too_big(request) || foretold(request) > secs(asked.time_left)) return finish(request);
     hold(request, false);
   }
 
@@ -271,9 +270,14 @@
     mean += mean > 0 ? 0.05 * (std::min(cost, 3 * mean) - mean) : cost;
     return std::clamp(cost / mean, kLeastSize, kMostSize);
   }
-  // In a crowd the largest queries of each class are refused first: for the work of one, several others are
-  // answered. The limit falls while the fleet is crowded, by its level or, where nothing tells that, by how
-  // slow answers are, and rises else; a query of the usual size always passes.
+  // In a crowd the largest queries go first: for the work of one, several others are answered. The limit
+  // moves by the fleet's level or, where nothing tells that, by how slow answers are; a usual query always
+  // passes. A class worth more for its work than the last in rank has a higher limit by that much.
+  bool too_big(const Request& request) const {
+    const auto dear = [this](ClassIndex c) { return classes_[c].work / s_.classes[c].worth; };
+    const auto c = request.asked.cls;
+    return request.size * std::min(1.0, dear(c) / dear(rank_.back())) > most_size_;
+  }
   void set_most_size(double passed) {
     const double load = level() >= 0 ? level() / (kSizeCrowd * ease_) : fleet_pace_ / kJamPace;
     most_size_ = std::clamp(most_size_ * std::exp(kSizeGain * passed * (1 - load)), 1.0, kMostSize);
@@ -541,7 +545,7 @@
     cls.block = cls.blocked = 0;
   }
 
-  // Guards against engines that error at once (they look fast and roomy), reset, or swallow queries.
+  // Engines that error at once look fast and roomy.
   void judge_failed(Engine& engine, double step) {
     engine.errors += step * (1 - engine.errors);
     if (engine.health == Health::trial || engine.errors >= kErrorTop) rest(engine, "fails its queries");
@@ -561,14 +565,13 @@
   void rescue(RequestId id, std::size_t n) {
     auto& request = requests_.at(id);
     if (!request.open || set(request).effect != Effect::safe) return;
-    const bool other = request.awaited() > 1;
-    if (other || (request.attempts.size() < s_.max_attempts && within_retry_budget())) call_off(request, n);
+    if (request.awaited() > 1 || (request.attempts.size() < s_.max_attempts && within_retry_budget()))
+      call_off(request, n);
   }
 
-  // An attempt out for much longer than such a query takes: its answer is lost, its plan is bad, or its
-  // engine is slow or stands still. Another goes elsewhere, and the first of two answers counts. What copies
-  // may waste is rationed by work, and none is sent in a crowd, where most are slow for no fault of their
-  // own.
+  // An attempt out for much longer than such a query takes: its answer is lost, its plan bad, its engine slow
+  // or at a stand. Another goes elsewhere, the first answer counts. Copies are rationed by work, and none is
+  // sent in a crowd, where most are slow for no fault of their own.
   void copy(RequestId id, std::size_t n) {
     auto& request = requests_.at(id);
     const double work = classes_[request.asked.cls].work * request.size;
@@ -606,9 +609,8 @@
     auto* request = find(note.request);
     if (at != engines_.end()) at->second.heard = now_;
     if (request == nullptr || note.attempt >= request->attempts.size()) return;
-    auto& attempt = request->attempts[note.attempt];
-    attempt.heard = now_;
-    const double age = secs(now_ - attempt.sent);
+    request->attempts[note.attempt].heard = now_;
+    const double age = secs(now_ - request->attempts[note.attempt].sent);
     // A bad plan, or an engine far too slow: what is left takes longer than to begin anew elsewhere.
     const bool slow = note.kind == NoteKind::progress && note.attempt == 0 && age > secs(kPlanLook) &&
                       age / std::max(note.amount, 0.005) >
@@ -771,8 +773,7 @@
     return few_ ? std::clamp(kScatter / scatter_, kApart, 1.0) : 1;
   }
 
-  // A level told by old reports lags, and all gateways overshoot together. Their own threads show it at once:
-  // what this gateway runs beyond its usual number, all are taken to.
+  // A level told by old reports lags: what this gateway runs beyond its usual number, all are taken to.
   double swing() const {
     if (level_ >= 0) return 1;  // the gateways' messages are fresh
     const double usual = std::max(1.0, own_threads_);
@@ -989,8 +990,7 @@
     return (crowded() ? 1 : kOverShareSlack) * s_.tenants[t].share * arrival_rate_;
   }
 
-  // A flood must not raise the share that it is measured against: past the first periods the usual rate grows
-  // slowly, and not at all while the fleet is crowded.
+  // A flood must not raise the share it is measured against: the rate grows slowly, and not in a crowd.
   void measure_rates(double passed) {
     const double rate = fresh_arrivals_ / passed;
     rate_age_ = std::min(rate_age_ + passed, kRateMemory);
--- a/tests/copies_test.cpp
+++ b/tests/copies_test.cpp
@@ -142,6 +142,7 @@
 // One query of many times the usual work took the place of several, and half of all reports were refused.
 TEST(Sizes, InACrowdTheLargestAreRefusedFirst) {
   Settings s = plain_settings();
+  s.classes.resize(1);
   s.load_fields = {LoadField::inflight};
   Drive d(s);
   d.list({engine(7), engine(8)});
