--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -26,6 +26,7 @@
 constexpr Time kAbsence = 200ms;         // without a call for so long, a gateway was itself away
 constexpr Time kAnswerEarly = 45ms;      // final answers go out this long before the deadline: two ticks
 constexpr double kHoldShare = 0.4;       // of the latency aim: held longer, an answer would come too late
+constexpr double kRunShare = 2.0;        // foretold answer times left for running when a hold ends
 constexpr double kOverShareSlack = 1.3;  // a tenant may take this many times its share before it waits last
 constexpr double kShareBurst = 2.0;      // seconds of its share a tenant may save up
 constexpr double kShareLeast = 3;        // queries on top: a quiet gateway's come in clumps
@@ -96,8 +97,10 @@
 constexpr double kMedianStep = 0.1;   // of the typical answer time that one answer moves it by
 constexpr double kLeastSize = 0.2, kMostSize = 40;  // of a query by its estimate, in its class's usual ones
 
-constexpr double kSizeCrowd = 1.1;  // threads a core above which the largest query taken gets smaller,
-constexpr double kSizeGain = 3;     // by so many times the part that the level is off, a second
+constexpr double kSizeCrowd = 1.5;  // threads a core; the largest size taken is this over the level, to
+constexpr double kSizePower = 3;    // this power
+constexpr double kPaceAsLevel =
+    0.9;  // threads a core that answers of usual length stand for, if none are told
 
 // Second copies, where they are allowed.
 constexpr double kCopyAfter = 3;     // typical answer times of such a query before a copy is sent
@@ -270,17 +273,14 @@
     mean += mean > 0 ? 0.05 * (std::min(cost, 3 * mean) - mean) : cost;
     return std::clamp(cost / mean, kLeastSize, kMostSize);
   }
-  // In a crowd the largest queries go first: for the work of one, several others are answered. The limit
-  // moves by the fleet's level or, where nothing tells that, by how slow answers are; a usual query always
+  // In a crowd the largest queries are refused: for the work of one, several others are answered. The limit
+  // goes by the fleet's level or, where nothing tells that, by how slow answers are; a usual query always
   // passes. A class worth more for its work than the last in rank has a higher limit by that much.
   bool too_big(const Request& request) const {
     const auto dear = [this](ClassIndex c) { return classes_[c].work / s_.classes[c].worth; };
-    const auto c = request.asked.cls;
-    return request.size * std::min(1.0, dear(c) / dear(rank_.back())) > most_size_;
-  }
-  void set_most_size(double passed) {
-    const double load = level() >= 0 ? level() / (kSizeCrowd * ease_) : fleet_pace_ / kJamPace;
-    most_size_ = std::clamp(most_size_ * std::exp(kSizeGain * passed * (1 - load)), 1.0, kMostSize);
+    const double load = level() >= 0 ? level() : fleet_pace_ * kPaceAsLevel;
+    const double most = std::max(1.0, std::pow(kSizeCrowd / std::max(0.1, load), kSizePower));
+    return request.size * std::min(1.0, dear(request.asked.cls) / dear(rank_.back())) > most;
   }
   double foretold(const Request& request) const { return classes_[request.asked.cls].typical * request.size; }
 
@@ -487,6 +487,7 @@
     const auto result = outcome.result;
     if (result == Result::served) return judge_served(engine, request, outcome);
     if (result == Result::error) return judge_failed(engine, kErrorStep);
+    if (result == Result::turned_away && level() < 0) return rest(engine, "is full");
     if (result == Result::turned_away)
       return take_report(engine, kCrowdAtFull * cores(engine), engine.heard = now_);
     if (result != Result::not_connected && result != Result::reset) return;
@@ -585,8 +586,7 @@
 
   bool rested(const Engine& engine) const { return engine.health == Health::resting; }
 
-  // Where notes are promised, an attempt without its note is lost, and its engine too if it gave no other
-  // word meanwhile. Elsewhere many usual answer times must have passed.
+  // Where notes are promised, an attempt without its note is lost, its engine too if it gave no other word.
   void watch(Engine& engine) {
     const Time quiet = now_ - engine.heard;
     double overdue = 0;
@@ -734,7 +734,7 @@
     return request.look_until > now_;
   }
 
-  bool crowded() const { return level() > kPassCrowd * ease_; }
+  bool crowded() const { return level() < 0 ? fleet_pace_ > kJamPace : level() > kPassCrowd * ease_; }
   // Of the fleet, threads a core; below 0: nothing has told yet.
   double level() const { return now_ > level_at_ + kLevelLife ? -1 : level_ < 0 ? told_level_ : level_; }
 
@@ -949,7 +949,6 @@
       put(Observe{true});
     }
     fill_tokens(passed);
-    set_most_size(passed);
     own_threads_ += std::min(1.0, passed / kOwnMemory) * (running() - own_threads_);
     while (!deadlines_.empty() && deadlines_.begin()->first <= now_)
       finish(requests_.at(deadlines_.begin()->second));
@@ -974,16 +973,19 @@
   }
 
   // Held so long that an answer would come after its aim: given up at once, so that fresher ones are in time.
+  // An estimate tells how long an answer takes and how far its aim lies; else the class's usual times do.
+  Time most_hold(const Request& request) const {
+    const auto c = request.asked.cls;
+    const auto& set = s_.classes[c];
+    const double least = kHoldShare * secs(set.aim), stretch = set.aim_stretch - kRunShare;
+    if (request.asked.cost) return span(std::max(least, secs(set.aim) + stretch * foretold(request)));
+    return span(std::max(least, kHoldShare * whole_aim(c) - classes_[c].usual));
+  }
+
   void drop_overdue() {
-    for (const auto c : rank_) {
-      const auto& set = s_.classes[c];
-      const Time most =
-          span(std::max(kHoldShare * secs(set.aim), kHoldShare * whole_aim(c) - classes_[c].usual));
-      for (const auto id : std::vector(classes_[c].queue.begin(), classes_[c].queue.end())) {
-        auto& request = requests_.at(id);
-        if (now_ - request.queued > most) finish(request);
-      }
-    }
+    for (auto& cls : classes_)
+      for (const auto id : std::vector(cls.queue.begin(), cls.queue.end()))
+        if (auto& request = requests_.at(id); now_ - request.queued > most_hold(request)) finish(request);
   }
 
   double share_rate(std::size_t t) const {
@@ -1033,8 +1035,7 @@
   bool few_ = false;     // the pool holds few queries
   unsigned widest_ = 1;  // threads of a query
   double rate_age_ = 0, arrival_rate_ = 0, fresh_arrivals_ = 0, probe_tokens_ = 0, tell_bytes_ = 0;
-  double most_size_ = kMostSize;  // of a query that is taken, by its estimate
-  double copy_work_ = 0;          // core-seconds that second copies may still cost
+  double copy_work_ = 0;  // core-seconds that second copies may still cost
   double pool_ = 0, cores_ = 0, fleet_pace_ = 1, ease_ = 1;
   double peer_gap_ = 0, peer_threads_ = 0;
   unsigned peers_heard_ = 0;
