--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -46,7 +46,7 @@
 constexpr double kLevelStep = 0.1;    // weight of one report in the fleet's level, threads a core
 constexpr double kFleetStep = 0.04;   // weight of one answer in the fleet's pace
 constexpr double kOwnPart = 0.25;     // of an engine's load as judged: own threads times gateways
-constexpr double kFarZone = 0.1;      // threads a core that another zone must be emptier by
+constexpr double kFarZone = 20;       // threads a core that another zone must be emptier by, for a price of 1
 constexpr double kSameAgain = 3.0;    // threads a core that others may be fuller by for another attempt
 constexpr std::size_t kHomes = 2;     // engines that all loads of one group share, at the least;
 constexpr std::size_t kHomePart = 5;  // and one in so many of a large fleet
@@ -282,6 +282,7 @@
     const double most = std::max(1.0, std::pow(kSizeCrowd / std::max(0.1, load), kSizePower));
     return request.size * std::min(1.0, dear(request.asked.cls) / dear(rank_.back())) > most;
   }
+  double work(const Request& request) const { return classes_[request.asked.cls].work * request.size; }
   double foretold(const Request& request) const { return classes_[request.asked.cls].typical * request.size; }
 
   void hold(Request& request, bool first) {
@@ -396,7 +397,7 @@
   // all might use what they have saved at once.
   bool cold_room(const Request& request, const Engine& engine) const {
     if (s_.tip_multiple <= 0 || !cold(engine)) return true;
-    return now_ < engine.turn_until && classes_[request.asked.cls].work <= engine.turn_left;
+    return now_ < engine.turn_until && work(request) <= engine.turn_left;
   }
 
   double heaviest() const { return std::ranges::max_element(classes_, {}, &Class::work)->work; }
@@ -438,7 +439,7 @@
     if (!request.attempts.empty()) further_.push_back(now_);
     if (s_.grants || s_.priorities) put(Terms{request.asked.request, grant(request), priority(request)});
     put(Send{request.asked.request, engine.entry.engine, request.deadline - kAnswerEarly});
-    engine.turn_left -= cls.work;
+    engine.turn_left -= work(request);
     if (engine.out.empty()) engine.heard = now_;
     engine.out.insert({request.asked.request, static_cast<AttemptIndex>(request.attempts.size())});
     request.attempts.push_back({engine.entry.engine, engine.entry.zone, engine.entry.cell, now_, now_});
@@ -575,13 +576,12 @@
   // sent in a crowd, where most are slow for no fault of their own.
   void copy(RequestId id, std::size_t n) {
     auto& request = requests_.at(id);
-    const double work = classes_[request.asked.cls].work * request.size;
     if (!s_.second_copies || !request.open || request.held || n + 1 < request.attempts.size()) return;
-    if (secs(now_ - request.attempts[n].sent) < kCopyAfter * foretold(request) || copy_work_ < work) return;
-    if (crowded() || request.attempts.size() >= s_.max_attempts) return;
+    if (crowded() || copy_work_ < work(request) || request.attempts.size() >= s_.max_attempts) return;
+    if (secs(now_ - request.attempts[n].sent) < kCopyAfter * foretold(request)) return;
     for (std::size_t i = 0; i < n; ++i) call_off(request, i);  // a third: the first is lost
     Engine* engine = pick(request);
-    if (engine != nullptr && transmit(request, *engine)) copy_work_ -= work;
+    if (engine != nullptr && transmit(request, *engine)) copy_work_ -= work(request);
   }
 
   bool rested(const Engine& engine) const { return engine.health == Health::resting; }
@@ -814,7 +814,7 @@
     const double own = engine.threads * std::min<double>(s_.gateways, kOwnTimes);
     const double all = kOwnPart * own + (1 - kOwnPart) * all_threads(engine).value_or(own);
     double score = (all + set.threads) / (cores(engine) * warmth(engine, 0s));
-    if (s_.price_cross_zone > 0 && engine.entry.zone != s_.zone) score += kFarZone;
+    if (engine.entry.zone != s_.zone) score += kFarZone * s_.price_cross_zone;
     if (!readers_wait_ && home(request.asked.data_group, engine)) score -= kWarmHome;
     if (set.waits_for_group && home(request.asked.data_group, engine)) score += kHomeKeepOff;
     const auto there = [&](const Attempt& a) { return a.engine == engine.entry.engine; };
--- a/tests/copies_test.cpp
+++ b/tests/copies_test.cpp
@@ -182,6 +182,84 @@
   EXPECT_EQ(d.refused[50], 1);
 }
 
+// What tips a cold engine over is work, and one query may be many times the usual.
+TEST(Sizes, AColdEngineIsChargedAQuerysOwnWork) {
+  for (const Time cost : {100ms, 2000ms}) {
+    Settings s = plain_settings();
+    s.classes.resize(1);
+    s.classes[0].give_up = 60s;
+    Drive d(s);
+    d.list({engine(7)});
+    for (RequestId id = 1; id <= 40; ++id) {
+      d.at(d.now, {estimated(id, 100ms)});
+      d.ends(id, 0, engine_of(d, id, 0), Result::served);
+    }
+    auto cold = engine(8);
+    cold.last_start = d.now;
+    d.list({cold});
+    d.until(d.now + 1s);
+    auto asked = estimated(50, cost);
+    asked.time_left = 60s;
+    d.at(d.now, {asked});
+    d.until(d.now + 300ms);
+    EXPECT_EQ(d.sends_of(50), cost == 2s ? 0 : 1);
+  }
+}
+
+TEST(Sizes, AHeldQueryIsGivenUpWhenItsAnswerWouldComeTooLate) {
+  for (const Time cost : {100ms, 30ms}) {  // of the usual size; small, with more time left to wait
+    Settings s = plain_settings();
+    s.classes.resize(1);
+    Drive d(s);
+    d.list({engine(7)});
+    for (RequestId id = 1; id <= 60; ++id) {
+      d.at(d.now, {estimated(id, 100ms)});
+      d.ends(id, 0, engine_of(d, id, 0), Result::served, 250ms);
+    }
+    d.list({});
+    d.at(d.now, {estimated(70, cost)});
+    d.until(d.now + 700ms);
+    EXPECT_EQ(d.answers(70), cost == 100ms ? 1 : 0);
+  }
+}
+
+// Where engines report nothing and messages are not allowed, a crowd was never seen.
+TEST(Blind, SlowAnswersTellACrowdAndAFloodPastItsShareIsRefused) {
+  for (const bool slow : {false, true}) {
+    Settings s = plain_settings();
+    s.classes.resize(1);
+    s.over_share_worth = 0.1;
+    s.tenants = {{"calm", 0.5, 5}, {"flood", 0.5, 5}};
+    Drive d(s);
+    d.list({engine(7), engine(8)});
+    RequestId id = 0;
+    const auto ask = [&](std::uint32_t tenant, Time took) {
+      Arrival a;
+      a.request = ++id;
+      a.tenant = tenant;
+      a.time_left = 5s;
+      d.at(d.now, {a});
+      if (d.sends_of(id) == 1) d.ends(id, 0, engine_of(d, id, 0), Result::served, took);
+    };
+    for (int n = 0; n < 60; ++n) {
+      ask(0, 100ms);
+      d.until(d.now + 200ms);
+    }
+    for (int n = 0; n < 20; ++n) ask(1, slow ? 400ms : 100ms);
+    EXPECT_EQ(d.answers(id), slow ? 1 : 0);
+  }
+}
+
+TEST(Blind, AFullEngineRestsWhereNothingTellsItsLoad) {
+  Drive d(plain_settings());
+  d.list({engine(7), engine(8)});
+  d.ask(1, 0);
+  const auto full = d.sends.back().engine;
+  d.ends(1, 0, full, Result::turned_away);
+  for (RequestId id = 2; id <= 8; ++id) d.ask(id, 0);
+  EXPECT_EQ(d.sends_to(full), 1);
+}
+
 TEST(Sizes, OfLaterClassesSmallerQueriesGetPriority) {
   Settings s = plain_settings();
   s.priorities = true;
