--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -97,13 +97,13 @@
 constexpr double kMedianStep = 0.1;   // of the typical answer time that one answer moves it by
 constexpr double kLeastSize = 0.2, kMostSize = 40;  // of a query by its estimate, in its class's usual ones
 
-constexpr double kSizeCrowd = 1.5;  // threads a core; the largest size taken is this over the level, to
-constexpr double kSizePower = 3;    // this power
-constexpr double kPaceAsLevel =
-    0.9;  // threads a core that answers of usual length stand for, if none are told
+constexpr double kSizeCrowd = 1.5;    // threads a core; the largest size taken is this over the level, to
+constexpr double kSizePower = 3;      // this power
+constexpr double kPaceAsLevel = 0.9;  // threads a core that the usual pace stands for, if none are told
 
 // Second copies, where they are allowed.
 constexpr double kCopyAfter = 3;     // typical answer times of such a query before a copy is sent
+constexpr double kLostAfter = 5;     // and before one that gave no note is taken back
 constexpr double kCopyPart = 0.2;    // copies' work against that of all queries, at most
 constexpr double kCopiesSaved = 10;  // copies' worth of work that may be saved up, of the heaviest class
 
@@ -213,7 +213,6 @@
     few_ = pool_ < kFewQueries * widest_;
   }
 
-  // A process that has just begun: what was known of its health, pace and load is void.
   void begin_cold(Engine& engine, Time since) {
     engine.cold_since = since;
     engine.broke = Time::zero();
@@ -301,7 +300,6 @@
     return found == requests_.end() ? nullptr : &found->second;
   }
 
-  // Ends a request with the answer that its class and attempts allow, at once.
   void finish(Request& request) {
     if (!request.open) return;
     const auto id = request.asked.request;
@@ -393,8 +391,8 @@
   }
 
   // An even share of what tips a cold engine over may hold no query, so gateways have turns at moments drawn
-  // from their seeds, so many that all together stay under a part of the whole; a turn not used is lost, as
-  // all might use what they have saved at once.
+  // from their seeds, all together under a part of the whole; one not used is lost, so that none are saved
+  // up.
   bool cold_room(const Request& request, const Engine& engine) const {
     if (s_.tip_multiple <= 0 || !cold(engine)) return true;
     return now_ < engine.turn_until && work(request) <= engine.turn_left;
@@ -476,7 +474,6 @@
     again(*request);
   }
 
-  // A request whose attempt failed: back to the head of its queue where another attempt may come, else ended.
   void again(Request& request) {
     const auto may = [&](const Engine* e) { return placed(request, *e) && repeat_allowed(request, *e); };
     const bool can = std::ranges::any_of(ready_, may);
@@ -500,8 +497,8 @@
     judge_failed(engine, ask(engine) ? kErrorStep : 2 * kErrorStep);
   }
 
-  // A process that is heard so soon after a broken connection has not ended: only the connection, or the
-  // answer, was lost. Without this, answers lost all over the fleet made every engine look cold.
+  // Heard so soon after a broken connection, a process has not ended: only the connection or an answer was
+  // lost.
   void alive(Engine& engine, Time at) {
     if (engine.broke == Time::zero() || at <= engine.broke) return;
     if (at <= engine.broke + kAliveSoon) engine.cold_since = engine.cold_before;
@@ -572,13 +569,16 @@
   }
 
   // An attempt out for much longer than such a query takes: its answer is lost, its plan bad, its engine slow
-  // or at a stand. Another goes elsewhere, the first answer counts. Copies are rationed by work, and none is
-  // sent in a crowd, where most are slow for no fault of their own.
+  // or at a stand. Another goes elsewhere, rationed by work and not in a crowd, where most are slow. In the
+  // end it is taken back: a lost one would pass for running until its deadline, and lift the level all go by.
   void copy(RequestId id, std::size_t n) {
     auto& request = requests_.at(id);
-    if (!s_.second_copies || !request.open || request.held || n + 1 < request.attempts.size()) return;
-    if (crowded() || copy_work_ < work(request) || request.attempts.size() >= s_.max_attempts) return;
-    if (secs(now_ - request.attempts[n].sent) < kCopyAfter * foretold(request)) return;
+    const auto& attempt = request.attempts[n];
+    const double times = secs(now_ - attempt.sent) / foretold(request);
+    if (!s_.second_copies || !request.open || times < kCopyAfter) return;
+    if (times > kLostAfter && attempt.heard == attempt.sent) return rescue(id, n);
+    if (n + 1 < request.attempts.size() || request.attempts.size() >= s_.max_attempts) return;
+    if (request.held || crowded() || copy_work_ < work(request)) return;
     for (std::size_t i = 0; i < n; ++i) call_off(request, i);  // a third: the first is lost
     Engine* engine = pick(request);
     if (engine != nullptr && transmit(request, *engine)) copy_work_ -= work(request);
