--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -102,8 +102,8 @@
 constexpr double kPaceAsLevel = 0.9;  // threads a core that the usual pace stands for, if none are told
 
 // Second copies, where they are allowed.
-constexpr double kCopyAfter = 3;     // typical answer times of such a query before a copy is sent
-constexpr double kLostAfter = 5;     // and before one that gave no note is taken back
+constexpr double kCopyAfter = 4;     // typical answer times of such a query before a copy is sent
+constexpr double kLostAfter = 6;     // and before one that gave no note is taken back
 constexpr double kCopyPart = 0.2;    // copies' work against that of all queries, at most
 constexpr double kCopiesSaved = 10;  // copies' worth of work that may be saved up, of the heaviest class
 
