--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -417,8 +417,9 @@
   // Granted less than it needs a query spills; estimates are off by class, by as much as answers have told.
   double grant(const Request& request) const {
     const auto& cls = classes_[request.asked.cls];
-    if (request.asked.memory_mb <= 0) return kGrant * cls.memory;
-    return kGrantEstimate * request.asked.memory_mb * (cls.memory > 0 ? cls.memory / cls.memory_told : 1);
+    if (!(request.asked.memory_mb > 0)) return kGrant * cls.memory;
+    return kGrantEstimate * request.asked.memory_mb *
+           (cls.memory_told > 0 ? cls.memory / cls.memory_told : 1);
   }
 
   std::uint8_t priority(const Request& request) const {
@@ -498,8 +499,6 @@
     judge_failed(engine, ask(engine) ? kErrorStep : 2 * kErrorStep);
   }
 
-  // Heard so soon after a broken connection, a process has not ended: only the connection or an answer was
-  // lost.
   void alive(Engine& engine, Time at) {
     if (engine.broke == Time::zero() || at <= engine.broke) return;
     if (at <= engine.broke + kAliveSoon) engine.cold_since = engine.cold_before;
@@ -523,9 +522,9 @@
     cls.usual += 0.05 * (took - cls.usual);
     cls.typical *= took > foretold(request) ? 1 + kMedianStep : 1 - kMedianStep;
     if (s_.grants && outcome.work) {
-      const double step = cls.memory > 0 ? 0.05 : 1;
-      cls.memory += step * (outcome.memory_mb - cls.memory);
-      cls.memory_told += step * (request.asked.memory_mb - cls.memory_told);
+      cls.memory += (cls.memory > 0 ? 0.05 : 1) * (outcome.memory_mb - cls.memory);
+      const double told = request.asked.memory_mb;
+      if (told > 0) cls.memory_told += (cls.memory_told > 0 ? 0.05 : 1) * (told - cls.memory_told);
     }
     const double work = outcome.work ? secs(*outcome.work) : took * threads;
     cls.work += 0.05 * (work / request.size - cls.work);  // of all asked, though large ones go unserved
--- a/src/wire.cpp
+++ b/src/wire.cpp
@@ -198,9 +198,10 @@
   const json* fields = find(in, "fields");
   if (fields == nullptr) return;
   for (const json& field : list(*fields, "report.fields")) {
+    if (!field.is_string()) bad("report.fields", "is not a list of texts");
     LoadField value = LoadField::unknown;
     for (const auto& word : kFields) {
-      if (field.is_string() && field.get<std::string>() == word.text) value = word.value;
+      if (field.get<std::string>() == word.text) value = word.value;
     }
     out.load_fields.push_back(value);
   }
--- a/tests/copies_test.cpp
+++ b/tests/copies_test.cpp
@@ -373,6 +373,27 @@
   EXPECT_NEAR(granted, 300, 3) << "needs are three times what the class's estimates say";
 }
 
+// The need of queries without an estimate was set against an estimate of nothing: a grant without end.
+TEST(Grants, AnEstimateAfterAnswersToQueriesWithoutOneIsTakenAsItIs) {
+  Settings s = plain_settings();
+  s.grants = true;
+  Drive d(s);
+  d.list({engine(7), engine(8)});
+  d.ask(1, 0);
+  Outcome o;
+  o.request = 1;
+  o.engine = d.sends.back().engine;
+  o.latency = 100ms;
+  o.closed = true;
+  o.work = 100ms;
+  o.memory_mb = 150;
+  d.at(d.now, {o});
+  double granted = 0;
+  for (const auto& action : d.at(d.now, {estimated(2, 100ms, 50)}))
+    if (const auto* terms = std::get_if<Terms>(&action)) granted = terms->memory_mb;
+  EXPECT_NEAR(granted, 100, 1);
+}
+
 // Queries that stood in an engine's line gave notes all the time, and the engine was rested as silent.
 TEST(Notes, WhoGivesThemIsNotSilentAndAnAttemptWithoutThemIsLost) {
   Settings s = plain_settings();
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -208,6 +208,9 @@
   text = kSettings;
   text.replace(text.find("800000000"), 9, "\"soon\"   ");
   EXPECT_THROW((void)parse_settings(text), Malformed);
+  text = kSettings;
+  text.insert(text.find('{') + 1, R"("report": {"how": "pull", "fields": [7]}, )");
+  EXPECT_THROW((void)parse_settings(text), Malformed);
 }
 
 }  // namespace
