--- a/src/drill.cpp
+++ b/src/bench/drill.cpp
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "heronwell/gateway.hpp"
-#include "wire.hpp"
+#include "bench/wire.hpp"
 
 namespace {
 
--- a/src/wire.cpp
+++ b/src/bench/wire.cpp
@@ -1,4 +1,4 @@
-#include "wire.hpp"
+#include "bench/wire.hpp"
 
 #include <algorithm>
 #include <bit>
--- a/src/choice.cpp
+++ b/src/decide/choice.cpp
@@ -1,4 +1,4 @@
-// All decisions. The interface is include/heronwell/gateway.hpp; what is remembered, src/state.hpp.
+// All decisions. The interface is include/heronwell/gateway.hpp; what is remembered, state.hpp beside this.
 #include <algorithm>
 #include <cmath>
 #include <random>
