Protocol rooms: HTTP, PostgreSQL, engine list, and the host, all without sockets

The daemon and later the emulator need the same code without sockets. http parses incrementally with RFC 9112's closings, sql is one codec for both sides with the result table in one place, fleet numbers engines by hash, router keeps requests and attempts for the module and decides nothing.

--- /dev/null
+++ b/src/router/front.cpp
@@ -0,0 +1,167 @@
+#include "router/front.hpp"
+
+#include <fmt/format.h>
+#include <rapidjson/document.h>
+#include <rapidjson/error/en.h>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+
+#include "base/yaml.hpp"
+#include "router/rows.hpp"
+#include "router/settings.hpp"
+
+namespace heronwell::router {
+namespace {
+
+constexpr double kMostWorkMs = 3.6e6, kMostMemoryMb = 1e7;
+using Json = rapidjson::Value;
+using Failed = std::optional<Problem>;
+
+Problem wrong(std::string field, std::string detail) {
+  Problem problem;
+  problem.field = std::move(field);
+  problem.detail = std::move(detail);
+  return problem;
+}
+
+std::string_view text(const Json& value) { return {value.GetString(), value.GetStringLength()}; }
+
+// A name or a number, as one number; texts by their hash.
+std::optional<std::uint64_t> as_key(const Json& value) {
+  if (value.IsUint64()) return value.GetUint64();
+  if (value.IsInt64()) return static_cast<std::uint64_t>(value.GetInt64());
+  if (!value.IsString()) return std::nullopt;
+  return XXH64(value.GetString(), value.GetStringLength(), 0);
+}
+
+Failed unknown(const std::string& field, std::string_view name, const std::vector<std::string>& known) {
+  const auto near = yaml::nearest(name, known);
+  return wrong(field, near.empty() ? fmt::format("expected one of {}", fmt::join(known, ", "))
+                                   : fmt::format("unknown; the nearest known one is \"{}\"", near));
+}
+
+Failed read_estimates(const Json& value, Arrival& asked) {
+  if (!value.IsObject()) return wrong("estimates", "expected an object");
+  for (const auto& [key, number] : value.GetObject()) {
+    const auto name = text(key);
+    const bool work = name == "work_ms";
+    if (!work && name != "memory_mb") return wrong("estimates." + std::string(name), "unknown field");
+    const double most = work ? kMostWorkMs : kMostMemoryMb;
+    if (!number.IsNumber() || number.GetDouble() < 0 || number.GetDouble() > most)
+      return wrong("estimates." + std::string(name), fmt::format("expected a number from 0 to {}", most));
+    if (work)
+      asked.cost = Time(static_cast<std::int64_t>(number.GetDouble() * 1e6));
+    else
+      asked.memory_mb = number.GetDouble();
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+Front::Front(const Settings& settings) : classes_(class_names(settings)), tenants_(tenant_names(settings)) {
+  for (const auto& cls : settings.classes) give_up_.push_back(cls.give_up);
+}
+
+std::variant<Query, Problem> Front::read(std::string_view body, std::optional<std::string_view> timeout) const {
+  rapidjson::Document json;
+  json.Parse<rapidjson::kParseValidateEncodingFlag | rapidjson::kParseIterativeFlag>(body.data(), body.size());
+  if (json.HasParseError())
+    return wrong("", fmt::format("JSON, at byte {}: {}", json.GetErrorOffset(),
+                                 rapidjson::GetParseError_En(json.GetParseError())));
+  if (!json.IsObject()) return wrong("", "expected a JSON object");
+  Query query;
+  auto& asked = query.ask.asked;
+  std::optional<std::size_t> cls;
+  for (const auto& [key, value] : json.GetObject()) {
+    const auto name = text(key);
+    const std::string field(name);
+    if (name == "statement") {
+      if (!value.IsString() || value.GetStringLength() == 0) return wrong(field, "expected a text that is not empty");
+      if (text(value).find('\0') != std::string_view::npos) return wrong(field, "expected a text without NUL");
+      query.statement = text(value);
+    } else if (name == "class") {
+      if (!value.IsString()) return wrong(field, "expected a text");
+      const auto at = std::ranges::find(classes_, text(value));
+      if (at == classes_.end()) return *unknown(field, text(value), classes_);
+      cls = static_cast<std::size_t>(at - classes_.begin());
+    } else if (name == "tenant") {
+      if (!value.IsString()) return wrong(field, "expected a text");
+      const auto at = std::ranges::find(tenants_, text(value));
+      if (at == tenants_.end()) return *unknown(field, text(value), tenants_);
+      asked.tenant = static_cast<std::uint32_t>(at - tenants_.begin());
+    } else if (name == "data_group" || name == "key") {
+      const auto number = as_key(value);
+      if (!number) return wrong(field, "expected a text or a whole number");
+      if (name == "key")
+        asked.order_key = std::max<std::uint64_t>(1, *number);
+      else
+        asked.data_group = static_cast<std::int64_t>(*number);
+    } else if (name == "estimates") {
+      if (auto failed = read_estimates(value, asked)) return *failed;
+    } else if (name == "repeat") {
+      if (!value.IsBool()) return wrong(field, "expected true or false");
+      asked.repeat = value.GetBool();
+    } else {
+      return *unknown(field, name, {"statement", "class", "tenant", "data_group", "key", "estimates", "repeat"});
+    }
+  }
+  if (query.statement.empty()) return wrong("statement", "missing");
+  if (!cls) return wrong("class", "missing");
+  asked.cls = static_cast<ClassIndex>(*cls);
+  asked.time_left = give_up_[*cls];
+  if (timeout) {
+    std::int64_t ms = 0;
+    const auto [end, error] = std::from_chars(timeout->data(), timeout->data() + timeout->size(), ms);
+    if (error != std::errc{} || end != timeout->data() + timeout->size() || ms < 1)
+      return wrong("heronwell-timeout-ms", "expected a whole number of milliseconds from 1");
+    if (ms < give_up_[*cls] / std::chrono::milliseconds(1)) asked.time_left = std::chrono::milliseconds(ms);
+  }
+  return query;
+}
+
+Problem problem_of(const Answer& answer) {
+  Problem problem;
+  problem.attempts = answer.attempts;
+  problem.pause = answer.pause;
+  problem.retry_harmless = answer.ending == Ending::refused || answer.proven_unrun;
+  if (answer.ending == Ending::refused) {
+    problem.status = 503;
+    problem.outcome = "refused";
+    problem.detail = "not run; the engines are busy or out of reach";
+  } else {
+    problem.outcome = "failed";
+    problem.status = answer.ending == Ending::overdue || answer.last == Result::timed_out ? 504 : 502;
+    problem.detail = problem.status == 504 ? "no answer in time; it may have run"
+                                           : "the engine was lost or failed; it may have run";
+    if (answer.proven_unrun) problem.detail = "no answer in time; it has not run";
+  }
+  return problem;
+}
+
+std::string problem_body(const Problem& problem) {
+  std::string out = fmt::format(R"({{"type":"about:blank","status":{},"outcome":"{}","retry_harmless":{})",
+                                problem.status, problem.outcome, problem.retry_harmless);
+  if (!problem.field.empty()) {
+    out += ",\"field\":";
+    put_json_text(out, problem.field);
+  }
+  if (!problem.sqlstate.empty()) {
+    out += ",\"sqlstate\":";
+    put_json_text(out, problem.sqlstate);
+  }
+  if (problem.attempts > 0) out += fmt::format(",\"attempts\":{}", problem.attempts);
+  if (problem.pause > Time::zero())
+    out += fmt::format(",\"retry_after_ms\":{}", problem.pause / std::chrono::milliseconds(1));
+  out += ",\"detail\":";
+  put_json_text(out, problem.detail);
+  out.push_back('}');
+  return out;
+}
+
+std::int64_t retry_after_seconds(Time pause) { return (pause.count() + 999'999'999) / 1'000'000'000; }
+
+}  // namespace heronwell::router
--- /dev/null
+++ b/src/sql/protocol.cpp
@@ -0,0 +1,211 @@
+#include "sql/protocol.hpp"
+
+#include <algorithm>
+
+#include "base/bytes.hpp"
+
+namespace heronwell::sql {
+namespace {
+
+// Writes type and length round what `body` appends.
+void message(std::string& out, char type, auto body) {
+  if (type != 0) out.push_back(type);
+  const auto at = out.size();
+  put_u32(out, 0);
+  body();
+  const auto length = static_cast<std::uint32_t>(out.size() - at);
+  for (std::size_t i = 0; i < 4; ++i) out[at + i] = static_cast<char>(length >> (8 * (3 - i)));
+}
+
+void put_fields(std::string& out, char type, const ErrorText& text) {
+  message(out, type, [&] {
+    for (const auto& [key, value] : {std::pair{'S', text.severity}, std::pair{'V', text.severity},
+                                     std::pair{'C', text.code}, std::pair{'M', text.message}}) {
+      out.push_back(key);
+      put_text(out, value);
+    }
+    out.push_back('\0');
+  });
+}
+
+Frame frame(std::string_view in, std::size_t header, char type, std::size_t most) {
+  Frame found;
+  if (in.size() < header + 4) return found;
+  const std::size_t length = ByteReader(in.substr(header)).u32();
+  if (length < 4 || header + length > most) {
+    found.state = Frame::State::malformed;
+    return found;
+  }
+  found.size = header + length;
+  if (in.size() < found.size) return found;
+  found.state = Frame::State::complete;
+  found.message = {type, in.substr(header + 4, length - 4)};
+  return found;
+}
+
+}  // namespace
+
+Frame next_message(std::string_view in, std::size_t most) {
+  if (in.empty()) return {};
+  const char type = in.front();
+  if ((type < 'A' || type > 'Z') && (type < 'a' || type > 'z') && (type < '0' || type > '9'))
+    return {Frame::State::malformed, 0, {}};
+  return frame(in, 1, type, most);
+}
+Frame next_startup(std::string_view in) { return frame(in, 0, 0, kMostStartup); }
+
+void put_startup(std::string& out, const std::vector<std::pair<std::string, std::string>>& parameters) {
+  message(out, 0, [&] {
+    put_u32(out, kProtocol);
+    for (const auto& [name, value] : parameters) {
+      put_text(out, name);
+      put_text(out, value);
+    }
+    out.push_back('\0');
+  });
+}
+void put_cancel(std::string& out, std::uint32_t process, std::uint32_t secret) {
+  message(out, 0, [&] {
+    put_u32(out, kCancelCode);
+    put_u32(out, process);
+    put_u32(out, secret);
+  });
+}
+void put_query(std::string& out, std::string_view statement) {
+  message(out, 'Q', [&] { put_text(out, statement); });
+}
+void put_terminate(std::string& out) {
+  message(out, 'X', [] {});
+}
+void put_authentication_ok(std::string& out) {
+  message(out, 'R', [&] { put_u32(out, 0); });
+}
+void put_parameter(std::string& out, std::string_view name, std::string_view value) {
+  message(out, 'S', [&] {
+    put_text(out, name);
+    put_text(out, value);
+  });
+}
+void put_key(std::string& out, std::uint32_t process, std::uint32_t secret) {
+  message(out, 'K', [&] {
+    put_u32(out, process);
+    put_u32(out, secret);
+  });
+}
+void put_ready(std::string& out, char status) {
+  message(out, 'Z', [&] { out.push_back(status); });
+}
+void put_columns(std::string& out, const std::vector<Column>& columns) {
+  message(out, 'T', [&] {
+    put_u16(out, static_cast<unsigned>(columns.size()));
+    for (const auto& column : columns) {
+      put_text(out, column.name);
+      put_u32(out, 0);  // no table
+      put_u16(out, 0);
+      put_u32(out, column.type);
+      put_u16(out, 0xffff);  // of any size
+      put_u32(out, 0xffffffff);
+      put_u16(out, 0);  // as text
+    }
+  });
+}
+void put_row(std::string& out, const std::vector<Value>& values) {
+  message(out, 'D', [&] {
+    put_u16(out, static_cast<unsigned>(values.size()));
+    for (const auto& value : values) {
+      put_u32(out, value ? static_cast<std::uint32_t>(value->size()) : 0xffffffff);
+      if (value) out.append(*value);
+    }
+  });
+}
+void put_complete(std::string& out, std::string_view tag) {
+  message(out, 'C', [&] { put_text(out, tag); });
+}
+void put_empty_query(std::string& out) {
+  message(out, 'I', [] {});
+}
+void put_error(std::string& out, const ErrorText& error) { put_fields(out, 'E', error); }
+void put_notice(std::string& out, const ErrorText& notice) { put_fields(out, 'N', notice); }
+
+std::optional<ErrorText> read_error(std::string_view payload) {
+  ByteReader in(payload);
+  ErrorText text;
+  while (const char key = static_cast<char>(in.u8())) {
+    const auto value = in.text();
+    if (key == 'S') text.severity = value;
+    if (key == 'C') text.code = value;
+    if (key == 'M') text.message = value;
+  }
+  if (!in.done() || text.code.size() != 5) return std::nullopt;
+  return text;
+}
+std::optional<std::pair<std::string_view, std::string_view>> read_parameter(std::string_view payload) {
+  ByteReader in(payload);
+  const auto name = in.text();
+  const auto value = in.text();
+  if (!in.done()) return std::nullopt;
+  return std::pair{name, value};
+}
+std::optional<std::pair<std::uint32_t, std::uint32_t>> read_key(std::string_view payload) {
+  ByteReader in(payload);
+  const auto process = in.u32();
+  const auto secret = in.u32();
+  if (!in.done()) return std::nullopt;
+  return std::pair{process, secret};
+}
+std::optional<std::vector<Column>> read_columns(std::string_view payload) {
+  ByteReader in(payload);
+  std::vector<Column> columns(std::min<std::size_t>(in.u16(), payload.size() / 19));
+  for (auto& column : columns) {
+    column.name = std::string(in.text());
+    in.take(6);
+    column.type = in.u32();
+    in.take(8);
+  }
+  if (!in.done()) return std::nullopt;
+  return columns;
+}
+std::optional<std::string_view> read_text(std::string_view payload) {
+  ByteReader in(payload);
+  const auto text = in.text();
+  if (!in.done()) return std::nullopt;
+  return text;
+}
+
+RowReader::RowReader(std::string_view payload) {
+  ByteReader in(payload);
+  left_ = in.u16();
+  ok_ = in.ok();
+  rest_ = in.rest();
+}
+bool RowReader::next(Value& value) {
+  if (!ok_ || left_ == 0) return false;
+  ByteReader in(rest_);
+  const auto size = in.u32();
+  value = size == 0xffffffff ? Value{} : Value{in.take(size)};
+  ok_ = in.ok();
+  rest_ = in.rest();
+  --left_;
+  return ok_;
+}
+
+std::optional<Startup> read_startup(std::string_view payload) {
+  ByteReader in(payload);
+  Startup found;
+  found.code = in.u32();
+  if (found.code == kCancelCode) {
+    found.process = in.u32();
+    found.secret = in.u32();
+  } else if (found.code != kSslCode && found.code != kGssCode) {
+    while (true) {
+      const auto name = in.text();
+      if (name.empty()) break;
+      const auto value = in.text();
+      found.parameters.emplace_back(std::string(name), std::string(value));
+    }
+  }
+  if (!in.done()) return std::nullopt;
+  return found;
+}
+
+}  // namespace heronwell::sql
