Daemon: shards, pooled engine connections, decision strand, list sources and peers

Main path of the running router. One decision strand gathers what shards tell and hands it to the module in one call a tick; a request and its attempts live on one shard, so that an answer crosses no thread. Builds; not yet run against engines.

--- /dev/null
+++ b/src/daemon/config.cpp
@@ -0,0 +1,160 @@
+#include "daemon/config.hpp"
+
+#include <fmt/format.h>
+
+#include <iterator>
+
+namespace heronwell::daemon {
+namespace {
+
+using namespace std::chrono_literals;
+
+Address read_address(yaml::Section& section, std::optional<std::uint64_t> fallback_port = std::nullopt) {
+  Address at;
+  at.host = section.string("host", "127.0.0.1");
+  at.port = static_cast<std::uint16_t>(fallback_port ? section.count("port", *fallback_port, 0, 65535)
+                                                     : section.count("port", 0, 65535));
+  return at;
+}
+
+Time positive(yaml::Section& section, const std::string& key, Time fallback) {
+  const auto value = section.duration(key, fallback);
+  if (value < 1ms || value > 24h) section.fail(key, "expected a duration from 1ms to 24h");
+  return value;
+}
+
+void read_listen(yaml::Section section, Config::Listen& listen) {
+  listen.at = read_address(section);
+  listen.limits.start_line = section.size("request_line", 8 << 10);
+  listen.limits.header_bytes = section.size("header_bytes", 32 << 10);
+  listen.limits.header_count = section.count("header_count", 100, 1, 10'000);
+  listen.limits.body = section.size("body", 1 << 20);
+  listen.header_time = positive(section, "header_time", 5s);
+  listen.idle_time = positive(section, "idle_time", 60s);
+  listen.stall_time = positive(section, "stall_time", 30s);
+  listen.connections = section.count("connections", 20'000, 1, 1'000'000);
+  listen.pipeline = section.count("pipeline", 16, 1, 10'000);
+  listen.hold = section.size("hold", 256 << 10);
+  listen.high_water = section.size("high_water", 256 << 10);
+  if (listen.limits.header_bytes < 256) section.fail("header_bytes", "expected at least 256B");
+  if (listen.high_water < 1024) section.fail("high_water", "expected at least 1KiB");
+  section.close();
+}
+
+void read_engines(yaml::Section section, Config::Engines& engines) {
+  engines.user = section.string("user", "heronwell");
+  engines.database = section.string("database", "heronwell");
+  engines.connections = section.count("connections", 64, 1, 100'000);
+  engines.dial_timeout = positive(section, "dial_timeout", 250ms);
+  engines.idle_close = positive(section, "idle_close", 30s);
+  engines.cancel_wait = positive(section, "cancel_wait", 100ms);
+  engines.probe_timeout = positive(section, "probe_timeout", 500ms);
+  engines.most_message = section.size("most_message", 16 << 20);
+  engines.never_began = section.strings("never_began");
+  for (const auto& code : engines.never_began)
+    if (code.size() != 5) section.fail("never_began", "expected SQLSTATEs of five characters");
+  engines.memory_setting = section.string("memory_setting", "work_mem");
+  engines.priority_setting = section.string("priority_setting", "");
+  engines.load_parameter = section.string("load_parameter", "heronwell.load");
+  engines.probe_statement = section.string("probe_statement", "select 1");
+  section.close();
+}
+
+void read_list(yaml::Section section, Config::List& list) {
+  list.file = section.string("file", "");
+  for (auto& one : section.sections("consul")) {
+    list.consul.push_back(read_address(one, 8500));
+    one.close();
+  }
+  if (list.file.empty() == list.consul.empty()) section.fail("", "expected either a file or consul addresses");
+  list.service = section.string("service", "sql");
+  list.wait = positive(section, "wait", 60s);
+  list.timeout = positive(section, "timeout", 5s);
+  list.retry_least = positive(section, "retry_least", 100ms);
+  list.retry_most = positive(section, "retry_most", 5s);
+  list.watch = positive(section, "watch", 200ms);
+  if (list.retry_most < list.retry_least) section.fail("retry_most", "expected at least retry_least");
+  section.close();
+}
+
+}  // namespace
+
+Config read_config(yaml::Section file) {
+  Config config;
+  config.module = router::read_settings(file);
+  config.names = router::read_names(file);
+  auto gateway = file.section("gateway");
+  config.name = gateway.string("name", fmt::format("gateway-{}", config.module.me));
+  if (gateway.has("seed")) config.seed = gateway.count("seed", 0, UINT64_MAX);
+  config.threads = static_cast<unsigned>(gateway.count("threads", 1, 1, 64));
+  for (const auto* known : {"of", "number", "zone"}) (void)gateway.has(known);  // read with the module's
+  gateway.close();
+  read_listen(file.section("listen"), config.listen);
+  read_engines(file.section("engines"), config.engines);
+  read_list(file.section("list"), config.list);
+  auto peers = file.section("peers");
+  if (peers.has("port")) {
+    config.peers.at = read_address(peers);
+    config.peers.key_file = peers.string("key_file");
+    for (auto& member : peers.sections("members")) {
+      const auto number = member.count("number", 0, config.module.gateways - 1);
+      config.peers.members.emplace_back(static_cast<std::uint32_t>(number), read_address(member));
+      member.close();
+    }
+  } else if (config.module.may_tell && config.module.gateways > 1) {
+    peers.fail("port", "missing; allow.tell needs it");
+  }
+  peers.close();
+  auto log = file.section("log");
+  config.log.file = log.string("file", "");
+  const std::vector<std::string> levels{"info", "debug", "warn", "error", "off"}, which{"all", "problems", "none"};
+  config.log.level = levels[log.choice("level", levels, 0)];
+  config.log.requests = which[log.choice("requests", which, 0)];
+  log.close();
+  file.close();
+  return config;
+}
+
+std::string effective(const Config& c) {
+  std::string out;
+  auto to = std::back_inserter(out);
+  const auto d = yaml::duration_text;
+  const auto b = yaml::size_text;
+  fmt::format_to(to, "gateway:\n  name: {}\n  number: {}\n  of: {}\n  threads: {}\n", c.name, c.module.me,
+                 c.module.gateways, c.threads);
+  if (!c.names.zones[c.module.zone].empty()) fmt::format_to(to, "  zone: {}\n", c.names.zones[c.module.zone]);
+  if (c.seed) fmt::format_to(to, "  seed: {}\n", *c.seed);
+  const auto& l = c.listen;
+  fmt::format_to(to,
+                 "listen:\n  host: {}\n  port: {}\n  request_line: {}\n  header_bytes: {}\n  header_count: {}\n"
+                 "  body: {}\n  header_time: {}\n  idle_time: {}\n  stall_time: {}\n  connections: {}\n"
+                 "  pipeline: {}\n  hold: {}\n  high_water: {}\n",
+                 l.at.host, l.at.port, b(l.limits.start_line), b(l.limits.header_bytes), l.limits.header_count,
+                 b(l.limits.body), d(l.header_time), d(l.idle_time), d(l.stall_time), l.connections, l.pipeline,
+                 b(l.hold), b(l.high_water));
+  const auto& e = c.engines;
+  fmt::format_to(to,
+                 "engines:\n  user: {}\n  database: {}\n  connections: {}\n  dial_timeout: {}\n  idle_close: {}\n"
+                 "  cancel_wait: {}\n  probe_timeout: {}\n  most_message: {}\n  never_began: [{}]\n"
+                 "  memory_setting: \"{}\"\n  priority_setting: \"{}\"\n  load_parameter: {}\n  probe_statement: {}\n",
+                 e.user, e.database, e.connections, d(e.dial_timeout), d(e.idle_close), d(e.cancel_wait),
+                 d(e.probe_timeout), b(e.most_message), fmt::join(e.never_began, ", "), e.memory_setting,
+                 e.priority_setting, e.load_parameter, e.probe_statement);
+  fmt::format_to(to, "list:\n");
+  if (!c.list.file.empty()) fmt::format_to(to, "  file: {}\n", c.list.file);
+  if (!c.list.consul.empty()) fmt::format_to(to, "  consul:\n");
+  for (const auto& at : c.list.consul) fmt::format_to(to, "    - {{host: {}, port: {}}}\n", at.host, at.port);
+  fmt::format_to(to, "  service: {}\n  wait: {}\n  timeout: {}\n  retry_least: {}\n  retry_most: {}\n  watch: {}\n",
+                 c.list.service, d(c.list.wait), d(c.list.timeout), d(c.list.retry_least), d(c.list.retry_most),
+                 d(c.list.watch));
+  if (c.peers.at) {
+    fmt::format_to(to, "peers:\n  host: {}\n  port: {}\n  key_file: {}\n  members:\n", c.peers.at->host,
+                   c.peers.at->port, c.peers.key_file);
+    for (const auto& [number, at] : c.peers.members)
+      fmt::format_to(to, "    - {{number: {}, host: {}, port: {}}}\n", number, at.host, at.port);
+  }
+  fmt::format_to(to, "log:\n  file: \"{}\"\n  level: {}\n  requests: {}\n", c.log.file, c.log.level, c.log.requests);
+  return out + router::effective(c.module, c.names);
+}
+
+}  // namespace heronwell::daemon
--- /dev/null
+++ b/src/daemon/config.hpp
@@ -0,0 +1,73 @@
+// The daemon's whole configuration, checked before anything starts. docs/operators/running.md explains each key.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/time.hpp"
+#include "base/yaml.hpp"
+#include "heronwell/gateway.hpp"
+#include "http/message.hpp"
+#include "router/settings.hpp"
+
+namespace heronwell::daemon {
+
+struct Address {
+  std::string host;
+  std::uint16_t port = 0;
+};
+
+struct Config {
+  std::string name;                   // of this gateway; the engines see it as application_name
+  std::optional<std::uint64_t> seed;  // of the module's random numbers; none: drawn at start
+  unsigned threads = 1;
+  Settings module;
+  router::Names names;
+
+  struct Listen {
+    Address at;
+    http::Limits limits;
+    Time header_time{}, idle_time{}, stall_time{};  // to send a head; between requests; without reading a byte
+    std::size_t connections = 0, pipeline = 0;      // at most
+    std::size_t hold = 0;                           // bytes: a longer answer is streamed
+    std::size_t high_water = 0;                     // bytes on their way to one client at most, about
+  } listen;
+
+  struct Engines {
+    std::string user, database;
+    std::size_t connections = 0;  // to one engine at most
+    Time dial_timeout{}, idle_close{}, cancel_wait{}, probe_timeout{};
+    std::size_t most_message = 0;              // bytes of one protocol message, a row say
+    std::vector<std::string> never_began;      // SQLSTATEs that prove a statement never began
+    std::string memory_setting, priority_setting;  // SET before a statement; empty: none
+    std::string load_parameter;                // ParameterStatus that carries the load
+    std::string probe_statement;
+  } engines;
+
+  struct List {
+    std::string file;             // one of these two
+    std::vector<Address> consul;  // tried in turn
+    std::string service;
+    Time wait{}, timeout{}, retry_least{}, retry_most{}, watch{};
+  } list;
+
+  struct Peers {
+    std::optional<Address> at;
+    std::string key_file;
+    std::vector<std::pair<std::uint32_t, Address>> members;
+  } peers;
+
+  struct Log {
+    std::string file;      // empty: standard error
+    std::string level;     // of spdlog
+    std::string requests;  // all, problems, none
+  } log;
+};
+
+// Throws yaml::Error: place, field, what was expected. `name` stands for the file in errors.
+Config read_config(yaml::Section file);
+std::string effective(const Config& config);  // as YAML that read_config() reads to the same
+
+}  // namespace heronwell::daemon
--- /dev/null
+++ b/src/daemon/decisions.cpp
@@ -0,0 +1,192 @@
+#include "daemon/decisions.hpp"
+
+#include <fmt/format.h>
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <fstream>
+#include <sstream>
+
+namespace heronwell::daemon {
+namespace {
+
+using namespace std::chrono_literals;
+constexpr auto kMeasure = 500ms;  // between updates of gauges
+
+Time unix_offset() {
+  return std::chrono::duration_cast<Time>(std::chrono::system_clock::now().time_since_epoch()) - steady_now();
+}
+
+}  // namespace
+
+Decisions::Decisions(asio::io_context& context, const Config& config, Metrics& metrics, std::uint64_t seed)
+    : context_(context), config_(config), metrics_(metrics), host_(config.module, seed),
+      book_(config.names.zones, config.names.kinds, unix_offset()),
+      inbox_(context.get_executor(), [this](std::vector<Told>& told) { read(told); }), timer_(context.get_executor()),
+      measuring_(context.get_executor()),
+      lists_(context.get_executor(), config, [this](Listed listed) { inbox_.put(Told{steady_now(), std::move(listed)}); }) {}
+
+void Decisions::start(std::vector<Shard*> shards) {
+  shards_ = std::move(shards);
+  orders_.resize(shards_.size());
+  if (config_.peers.at) open_peers();
+  lists_.start();
+  run();
+  measure();
+}
+
+void Decisions::stop() {
+  stopped_ = true;
+  lists_.stop();
+  timer_.cancel();
+  measuring_.cancel();
+  boost::system::error_code ignored;
+  if (peers_) peers_->close(ignored);
+}
+
+void Decisions::read(std::vector<Told>& told) {
+  if (stopped_) return;
+  lag_ = std::max(lag_, steady_now() - told.front().at);
+  for (const auto& one : told) on(one);
+  run();
+}
+
+void Decisions::on(const Told& told) {
+  const auto now = told.at;
+  if (const auto* took = std::get_if<Took>(&told.what)) return host_.arrive(now, took->ask);
+  if (const auto* left = std::get_if<Left>(&told.what)) return host_.client_left(left->ticket);
+  if (const auto* end = std::get_if<router::AttemptEnd>(&told.what)) return host_.attempt_ended(steady_now(), *end);
+  if (const auto* grown = std::get_if<Outgrown>(&told.what))
+    return host_.answer_outgrown(steady_now(), grown->ticket, grown->attempt);
+  if (const auto* note = std::get_if<Noted>(&told.what))
+    return host_.note(note->ticket, note->attempt, note->kind, note->amount);
+  if (const auto* probe = std::get_if<Probed>(&told.what))
+    return host_.probed(probe->engine, probe->result, probe->latency, probe->load);
+  if (const auto* peer = std::get_if<PeerCame>(&told.what)) return host_.peer(peer->from, peer->bytes);
+  list(std::get<Listed>(told.what));
+}
+
+void Decisions::list(const Listed& listed) {
+  if (listed.failed) {
+    metrics_.list_failures->Increment();
+    return host_.listing({ListKind::failed, {}});
+  }
+  auto change = book_.take(listed.entries, steady_now());
+  metrics_.list_updates->Increment();
+  for (const auto& why : change.refused) {
+    metrics_.list_refused->Increment();
+    spdlog::warn(R"({{"event":"list_entry_refused","gateway":"{}","detail":"{}"}})", config_.name, why);
+  }
+  if (!change.changed) return;
+  // The shards hear of it before any command that the module gives in the light of it.
+  const auto fleet = std::make_shared<const Fleet>(book_.engines());
+  for (auto& orders : orders_) orders.emplace_back(fleet);
+  const auto ready = std::ranges::count(change.listing.engines, EngineState::ready, &EngineEntry::state);
+  metrics_.engines_ready->Set(static_cast<double>(ready));
+  spdlog::info(R"({{"event":"list","gateway":"{}","engines":{},"ready":{}}})", config_.name, listed.entries.size(), ready);
+  host_.listing(std::move(change.listing));
+  if (ready > 0 && ready_) std::exchange(ready_, nullptr)();
+}
+
+void Decisions::run() {
+  do {
+    commands_.clear();
+    host_.run(steady_now(), commands_);
+    for (auto& command : commands_) carry_out(command);
+    for (std::size_t i = 0; i < shards_.size(); ++i) shards_[i]->orders().put_all(orders_[i]);
+  } while (host_.next_due() <= Time::zero());
+  arm();
+}
+
+void Decisions::carry_out(router::Command& command) {
+  if (const auto* line = std::get_if<router::TraceLine>(&command)) {
+    spdlog::info(R"({{"event":"decision","gateway":"{}","detail":"{}"}})", config_.name, line->text);
+  } else if (const auto* tell = std::get_if<router::TellPeers>(&command)) {
+    tell_peers(*tell);
+  } else if (std::holds_alternative<router::ObserveList>(command)) {
+    // The list sources are subscribed to from the start.
+  } else if (const auto* probe = std::get_if<router::ProbeEngine>(&command)) {
+    orders_[probe->engine % shards_.size()].emplace_back(std::move(command));
+  } else {
+    const auto ticket = std::visit(
+        [](const auto& c) -> Ticket {
+          if constexpr (requires { c.ticket; }) return c.ticket;
+          return 0;
+        },
+        command);
+    orders_[Shard::shard_of(ticket)].emplace_back(std::move(command));
+  }
+}
+
+void Decisions::arm() {
+  const auto due = host_.next_due();
+  if (stopped_ || due == armed_) return;
+  armed_ = due;
+  timer_.expires_at(at(due));
+  timer_.async_wait([this](boost::system::error_code error) {
+    if (error || stopped_) return;
+    armed_ = Time::max();
+    run();
+  });
+}
+
+void Decisions::measure() {
+  for (std::size_t c = 0; c < metrics_.classes.size(); ++c) {
+    const auto view = host_.gateway().view(static_cast<ClassIndex>(c));
+    metrics_.classes[c].queued->Set(static_cast<double>(view.queued));
+    metrics_.classes[c].running->Set(view.running);
+    metrics_.classes[c].budget->Set(view.budget);
+  }
+  metrics_.pool->Set(host_.gateway().pool());
+  metrics_.decision_lag->Set(std::chrono::duration<double>(std::exchange(lag_, Time::zero())).count());
+  measuring_.expires_after(kMeasure);
+  measuring_.async_wait([this](boost::system::error_code error) {
+    if (!error && !stopped_) measure();
+  });
+}
+
+// ---- other gateways --------------------------------------------------------------------------------------
+void Decisions::open_peers() {
+  std::ifstream file(config_.peers.key_file, std::ios::binary);
+  std::stringstream key;
+  key << file.rdbuf();
+  if (!file) throw std::invalid_argument("peers.key_file: cannot read " + config_.peers.key_file);
+  codec_.emplace(key.str(), config_.module.me,
+                 static_cast<std::uint64_t>(std::chrono::system_clock::now().time_since_epoch().count()));
+  for (const auto& [number, where] : config_.peers.members)
+    if (number != config_.module.me)
+      members_[number] = {asio::ip::make_address(where.host), where.port};
+  peers_.emplace(context_, asio::ip::udp::endpoint(asio::ip::make_address(config_.peers.at->host), config_.peers.at->port));
+  peers_->non_blocking(true);
+  hear_peers();
+}
+
+void Decisions::hear_peers() {
+  peers_->async_receive_from(asio::buffer(datagram_), sender_, [this](boost::system::error_code error, std::size_t size) {
+    if (stopped_ || error == asio::error::operation_aborted) return;
+    if (!error) {
+      const auto opened = codec_->open(std::string_view(datagram_.data(), size));
+      using enum PeerFault;
+      (opened.fault == none        ? metrics_.peers_taken
+       : opened.fault == forged    ? metrics_.peers_forged
+       : opened.fault == malformed ? metrics_.peers_malformed
+                                   : metrics_.peers_replayed)
+          ->Increment();
+      if (opened.fault == none && opened.from < config_.module.gateways)
+        inbox_.put(Told{steady_now(), PeerCame{opened.from, std::string(opened.payload)}});
+    }
+    hear_peers();
+  });
+}
+
+void Decisions::tell_peers(const router::TellPeers& tell) {
+  if (!peers_) return;
+  for (const auto& [number, where] : members_) {
+    if (tell.to && *tell.to != number) continue;
+    boost::system::error_code ignored;  // a datagram may be lost anyway
+    peers_->send_to(asio::buffer(codec_->seal(tell.bytes)), where, 0, ignored);
+    metrics_.peers_sent->Increment();
+  }
+}
+
+}  // namespace heronwell::daemon
--- /dev/null
+++ b/src/daemon/lists.hpp
@@ -0,0 +1,32 @@
+// Where the engine list comes from: a YAML file that is watched, or Consul's health API by blocking queries. A
+// source that is late or away changes nothing: the last list stays in force.
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <functional>
+
+#include "daemon/shard.hpp"
+
+namespace heronwell::daemon {
+
+class ListSource {
+ public:
+  ListSource(Executor executor, const Config& config, std::function<void(Listed)> tell);
+  void start();
+  void stop();
+
+ private:
+  asio::awaitable<void, Executor> watch_file();
+  asio::awaitable<void, Executor> watch_consul();
+  asio::awaitable<std::string, Executor> fetch(const Address& at, std::uint64_t& index);  // throws on any failure
+  asio::awaitable<void, Executor> pause(Time time);
+
+  Executor executor_;
+  const Config& config_;
+  std::function<void(Listed)> tell_;
+  std::shared_ptr<Socket> socket_;
+  Timer timer_;
+  bool stopped_ = false;
+};
+
+}  // namespace heronwell::daemon
--- /dev/null
+++ b/src/daemon/server.hpp
@@ -0,0 +1,27 @@
+// One router process: shards on threads of their own, the decision strand on the first, the listening socket.
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include "daemon/config.hpp"
+
+namespace heronwell::daemon {
+
+class Server {
+ public:
+  // Binds the port; throws std::system_error where it can't, std::invalid_argument naming a senseless setting.
+  explicit Server(Config config);
+  ~Server();
+  [[nodiscard]] std::uint16_t port() const;
+
+  // Serves until SIGINT or SIGTERM; then takes nothing new, and ends once all taken requests are answered, or
+  // after `longest`. `ready` is called once queries can be answered.
+  void run(const std::function<void()>& ready, Time longest);
+
+ private:
+  struct Parts;
+  std::unique_ptr<Parts> parts_;
+};
+
+}  // namespace heronwell::daemon
--- /dev/null
+++ b/src/daemon/shard.cpp
@@ -0,0 +1,340 @@
+#include "daemon/shard.hpp"
+
+#include <fmt/format.h>
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <boost/asio/ip/address.hpp>
+#include <charconv>
+
+#include "daemon/client.hpp"
+#include "daemon/engine.hpp"
+
+namespace heronwell::daemon {
+namespace {
+
+using namespace std::chrono_literals;
+constexpr auto kSweep = 250ms;  // between looks at the clocks of all connections
+
+double number_in(std::string_view text) {
+  double value = 0;
+  std::from_chars(text.data(), text.data() + text.size(), value);
+  return value;
+}
+
+// Calls `each` with the key and value of "key=value key=value".
+void pairs(std::string_view text, auto each) {
+  while (!text.empty()) {
+    const auto space = text.find(' ');
+    const auto word = text.substr(0, space);
+    const auto equals = word.find('=');
+    if (equals != std::string_view::npos) each(word.substr(0, equals), word.substr(equals + 1));
+    if (space == std::string_view::npos) return;
+    text.remove_prefix(space + 1);
+  }
+}
+
+std::string_view load_field_name(LoadField field) {
+  constexpr std::array<std::string_view, 8> names{"inflight", "queue",  "util",         "latency_ms",
+                                                  "served",   "failed", "memory_share", "disk_share"};
+  const auto at = static_cast<std::size_t>(field);
+  return at < names.size() ? names[at] : "";
+}
+
+}  // namespace
+
+Shard::Shard(const Config& config, Metrics& metrics, const router::Front& front, unsigned index, unsigned shards)
+    : config_(config), metrics_(metrics), front_(front), index_(index),
+      pool_cap_(std::max<std::size_t>(1, config.engines.connections / shards)),
+      orders_(context_.get_executor(), [this](std::vector<Order>& orders) { carry_out(orders); }),
+      sweeper_(context_.get_executor()) {
+  sweep();
+}
+
+Shard::~Shard() {
+  // Connections first: their handlers refer to the maps below.
+  for (auto* client : std::vector(clients_.begin(), clients_.end())) client->break_off();
+  attempts_.clear();
+  exchanges_.clear();
+  for (auto& [id, pool] : pools_)
+    for (auto* connection : std::vector(pool.all.begin(), pool.all.end())) connection->close();
+}
+
+void Shard::serve(Socket socket) {
+  metrics_.clients->Set(static_cast<double>(clients_.size() + 1));
+  std::make_shared<ClientConnection>(*this, std::move(socket))->start();
+}
+
+void Shard::sweep() {
+  sweeper_.expires_after(kSweep);
+  sweeper_.async_wait([this](boost::system::error_code error) {
+    if (error) return;
+    const auto now = steady_now();
+    for (auto* client : std::vector(clients_.begin(), clients_.end())) {
+      client->sweep(now);
+      if (stopping_) client->stop();
+    }
+    for (auto& [id, pool] : pools_)
+      for (const auto& connection : std::vector(pool.idle))
+        if (now > connection->idle_since() + config_.engines.idle_close) connection->close();
+    std::erase_if(pools_, [](const auto& one) { return !one.second.fit && one.second.all.empty(); });
+    sweep();
+  });
+}
+
+void Shard::stop_serving() { stopping_ = true; }
+
+// ---- requests ------------------------------------------------------------------------------------------
+void Shard::take(const ExchangePtr& exchange, router::Ask ask) {
+  exchange->cls = ask.asked.cls;
+  exchange->tenant = ask.asked.tenant;
+  exchange->deadline = exchange->began + ask.asked.time_left;
+  if (stopping_ || exchanges_.size() >= std::max<std::size_t>(1, config_.module.max_open / config_.threads)) {
+    router::Problem problem;
+    problem.status = 503;
+    problem.outcome = "refused";
+    problem.detail = stopping_ ? "this router is stopping" : "allow.max_open requests are open here";
+    problem.pause = config_.module.max_retry_after;
+    metrics_.classes[exchange->cls].limited->Increment();
+    finished(exchange, {'L', '-'}, problem.status);
+    const auto pause = std::to_string(router::retry_after_seconds(problem.pause));
+    return exchange->client->whole(exchange, problem.status, "application/problem+json",
+                                   router::problem_body(problem), {{"retry-after", pause}});
+  }
+  exchange->ticket = static_cast<Ticket>(index_) << 56 | ++tickets_;
+  ask.ticket = exchange->ticket;
+  exchanges_.emplace(exchange->ticket, exchange);
+  metrics_.open->Increment();
+  tell(Took{ask});
+}
+
+void Shard::left(const ExchangePtr& exchange) {
+  metrics_.classes[exchange->cls].left->Increment();
+  finished(exchange, {'C', exchange->streaming ? 'D' : exchange->attempts > 0 ? 'A' : 'H'}, 0);
+  tell(Left{exchange->ticket});
+  forget(exchange);
+}
+
+void Shard::forget(const ExchangePtr& exchange) {
+  if (exchanges_.erase(exchange->ticket) > 0) metrics_.open->Decrement();
+}
+
+ExchangePtr Shard::exchange(Ticket ticket) {
+  const auto found = exchanges_.find(ticket);
+  return found == exchanges_.end() ? nullptr : found->second;
+}
+
+void Shard::finished(const ExchangePtr& exchange, router::Termination end, int status) {
+  const auto took = steady_now() - exchange->began;
+  const bool good = end.who == 'S' || end.who == 'E';
+  if (good) metrics_.classes[exchange->cls].seconds->Observe(std::chrono::duration<double>(took).count());
+  if (config_.log.requests == "none" || (config_.log.requests == "problems" && good)) return;
+  const auto& cls = config_.module.classes[exchange->cls];
+  spdlog::info(R"({{"event":"request","gateway":"{}","ticket":{},"class":"{}","end":"{}","status":{},"ms":{:.3f},"attempts":{},"engine":{}}})",
+               config_.name, exchange->ticket, exchange->ticket == 0 ? "" : cls.name, end.text(), status,
+               milliseconds(took), exchange->attempts, exchange->engine);
+}
+
+// ---- attempts ------------------------------------------------------------------------------------------
+EnginePool* Shard::pool(EngineId id) {
+  const auto found = pools_.find(id);
+  return found == pools_.end() ? nullptr : &found->second;
+}
+
+void Shard::carry_out(std::vector<Order>& orders) {
+  for (auto& order : orders) {
+    if (const auto* fleet = std::get_if<std::shared_ptr<const Fleet>>(&order)) {
+      update(**fleet);
+      continue;
+    }
+    std::visit(
+        [this](const auto& command) {
+          if constexpr (requires { on(command); }) on(command);
+        },
+        std::get<router::Command>(order));
+  }
+}
+
+void Shard::update(const Fleet& fleet) {
+  for (const auto& [id, known] : fleet) {
+    boost::system::error_code error;
+    const auto host = asio::ip::make_address(known.entry.host, error);
+    auto& pool = pools_[id];
+    const asio::ip::tcp::endpoint address(host, known.entry.port);
+    const bool fit = !error && known.entry.state == EngineState::ready;
+    const bool moved = pool.address != address;
+    pool.id = id;
+    pool.fit = fit;
+    pool.address = address;
+    if (fit && !moved) continue;
+    for (const auto& connection : std::vector(pool.idle)) connection->close();
+  }
+  for (auto& [id, pool] : pools_)
+    if (!fleet.contains(id)) pool.fit = false;
+}
+
+void Shard::on(const router::StartAttempt& order) {
+  auto attempt = std::make_shared<Attempt>();
+  attempt->ticket = order.ticket;
+  attempt->number = order.attempt;
+  attempt->engine = order.engine;
+  attempt->until = order.until;
+  attempt->exchange = exchange(order.ticket);
+  if (!attempt->exchange) return end_attempt(attempt, sql::Seen::not_written);  // its client has left just now
+  ++attempt->exchange->attempts;
+  attempt->exchange->engine = order.engine;
+  attempt->statement = attempt->exchange->statement;
+  const auto& engines = config_.engines;
+  if (order.terms && order.terms->memory_mb > 0 && config_.module.grants && !engines.memory_setting.empty())
+    attempt->settings.emplace_back(engines.memory_setting, fmt::format("{:.0f}MB", std::max(1.0, order.terms->memory_mb)));
+  if (order.terms && config_.module.priorities && !engines.priority_setting.empty())
+    attempt->settings.emplace_back(engines.priority_setting, std::to_string(order.terms->priority));
+  attempts_.emplace(std::pair(order.ticket, order.attempt), attempt);
+  launch(attempt);
+}
+
+void Shard::on(const router::ProbeEngine& order) {
+  auto attempt = std::make_shared<Attempt>();
+  attempt->engine = order.engine;
+  attempt->until = steady_now() + config_.engines.probe_timeout;
+  attempt->statement = std::make_shared<const std::string>(config_.engines.probe_statement);
+  launch(attempt);
+  if (attempt->reported) return;
+  auto timer = std::make_shared<Timer>(context_.get_executor(), at(attempt->until));
+  timer->async_wait([this, timer, attempt](boost::system::error_code) {
+    if (attempt->reported) return;
+    end_attempt(attempt, sql::Seen::until_passed);
+    attempt->stopped = true;
+    if (auto connection = attempt->connection.lock()) connection->stop(attempt);
+  });
+}
+
+// A connection that waits for work is taken, the newest first; one found closed before a byte was written
+// costs the attempt nothing.
+void Shard::launch(const AttemptPtr& attempt) {
+  attempt->started = steady_now();
+  auto* pool = this->pool(attempt->engine);
+  if (pool == nullptr || !pool->fit) return end_attempt(attempt, sql::Seen::not_written);
+  while (!pool->idle.empty()) {
+    const auto connection = pool->idle.back();
+    pool->idle.pop_back();
+    if (connection->send(attempt)) return;
+    metrics_.redials->Increment();
+  }
+  if (pool->all.size() >= pool_cap_) return end_attempt(attempt, sql::Seen::pool_full);
+  std::make_shared<EngineConnection>(*this, *pool)->dial(attempt);
+}
+
+void Shard::on(const router::StopAttempt& order) {
+  const auto found = attempts_.find({order.ticket, order.attempt});
+  if (found == attempts_.end()) return;
+  const auto attempt = found->second;
+  attempt->stopped = true;
+  if (auto connection = attempt->connection.lock()) connection->stop(attempt);
+}
+
+void Shard::end_attempt(const AttemptPtr& attempt, sql::Seen seen, std::string_view code, bool cancelled) {
+  if (std::exchange(attempt->reported, true)) return;
+  const auto verdict = sql::judge(seen, code, config_.engines.never_began, cancelled);
+  if (attempt->ticket == 0)
+    return tell(Probed{attempt->engine, verdict.client_gets_error ? Result::error : verdict.result,
+                       steady_now() - attempt->started, std::move(attempt->load)});
+  metrics_.attempts[static_cast<std::size_t>(verdict.result)]->Increment();
+  if (!verdict.client_gets_error) attempt->content.sqlstate.clear(), attempt->content.error.clear();
+  if (verdict.result == Result::served && attempt->exchange)
+    attempt->exchange->contents[attempt->number] = std::move(attempt->content);
+  attempts_.erase({attempt->ticket, attempt->number});
+  tell(router::AttemptEnd{attempt->ticket, attempt->number, verdict.result, steady_now(), attempt->work,
+                          attempt->memory_mb, std::move(attempt->load)});
+}
+
+// Extras, by the protocol's own extension points: notices whose SQLSTATE is of class 01 (warning), subclass H.
+void Shard::note(const AttemptPtr& attempt, const sql::ErrorText& notice) {
+  if (attempt->ticket == 0) return;
+  if (notice.code == "01H01") tell(Noted{attempt->ticket, attempt->number, NoteKind::progress, number_in(notice.message)});
+  if (notice.code == "01H02") tell(Noted{attempt->ticket, attempt->number, NoteKind::spill, number_in(notice.message)});
+  if (notice.code == "01H03")
+    tell(Noted{attempt->ticket, attempt->number, NoteKind::waiting, notice.message == "load" ? 2.0 : 1.0});
+  if (notice.code == "01H04")
+    pairs(notice.message, [&](std::string_view key, std::string_view value) {
+      if (key == "work_ms") attempt->work = Time(static_cast<std::int64_t>(number_in(value) * 1e6));
+      if (key == "memory_mb") attempt->memory_mb = number_in(value);
+    });
+}
+
+void Shard::parameter(const AttemptPtr& attempt, std::string_view name, std::string_view value) {
+  const auto& fields = config_.module.load_fields;
+  if (name != config_.engines.load_parameter || fields.empty()) return;
+  if (attempt->ticket != 0 && !config_.module.load_in_answers) return;
+  attempt->load.assign(fields.size(), 0);
+  pairs(value, [&](std::string_view key, std::string_view figure) {
+    for (std::size_t i = 0; i < fields.size(); ++i)
+      if (load_field_name(fields[i]) == key) attempt->load[i] = number_in(figure);
+  });
+}
+
+// ---- answers -------------------------------------------------------------------------------------------
+void Shard::on(const router::Deliver& order) {
+  const auto exchange = this->exchange(order.ticket);
+  if (!exchange) return;
+  auto content = std::move(exchange->contents[order.attempt]);
+  exchange->contents.clear();
+  forget(exchange);
+  const bool error = !content.sqlstate.empty();
+  auto& counts = metrics_.classes[exchange->cls];
+  if (exchange->streaming) {
+    (error ? counts.broken : counts.served)->Increment();
+    finished(exchange, {error ? 'E' : 'S', 'D'}, 200);
+    return error ? exchange->client->break_off() : exchange->client->end(exchange);
+  }
+  (error ? counts.error : counts.served)->Increment();
+  finished(exchange, {error ? 'E' : 'S', 'A'}, error ? 422 : 200);
+  if (!error) return exchange->client->whole(exchange, 200, "application/json", std::move(content.json));
+  router::Problem problem;
+  problem.status = 422;
+  problem.outcome = "served";
+  problem.sqlstate = content.sqlstate;
+  problem.detail = content.error;
+  problem.retry_harmless = config_.module.classes[exchange->cls].effect == Effect::safe;
+  exchange->client->whole(exchange, problem.status, "application/problem+json", router::problem_body(problem));
+}
+
+void Shard::on(const router::BeginStream& order) {
+  const auto found = attempts_.find({order.ticket, order.attempt});
+  if (found == attempts_.end()) return;  // lost meanwhile: its end is on the way to the strand
+  if (auto connection = found->second->connection.lock()) connection->stream();
+}
+
+void Shard::on(const router::BreakStream& order) {
+  const auto exchange = this->exchange(order.ticket);
+  if (!exchange) return;
+  metrics_.classes[exchange->cls].broken->Increment();
+  finished(exchange, {'X', 'D'}, 200);
+  forget(exchange);
+  if (exchange->streaming) return exchange->client->break_off();
+  router::Problem problem;  // not a byte went out: it can still be told
+  problem.status = 502;
+  problem.outcome = "failed";
+  problem.detail = "the engine was lost in the middle of the answer";
+  problem.retry_harmless = config_.module.classes[exchange->cls].effect == Effect::safe;
+  exchange->client->whole(exchange, 502, "application/problem+json", router::problem_body(problem));
+}
+
+void Shard::on(const router::Answer& order) {
+  const auto exchange = this->exchange(order.ticket);
+  if (!exchange) return;
+  forget(exchange);
+  const auto problem = router::problem_of(order);
+  auto& counts = metrics_.classes[exchange->cls];
+  using router::Ending;
+  (order.ending == Ending::refused ? counts.refused : order.ending == Ending::failed ? counts.failed : counts.overdue)
+      ->Increment();
+  const char who = order.ending == Ending::refused ? 'R' : order.ending == Ending::failed ? 'F' : 'D';
+  finished(exchange, {who, order.attempts > 0 ? 'A' : 'H'}, problem.status);
+  const auto pause = std::to_string(router::retry_after_seconds(order.pause));
+  std::vector<http::Field> more;
+  if (order.ending == Ending::refused && order.pause > Time::zero()) more.push_back({"retry-after", pause});
+  exchange->client->whole(exchange, problem.status, "application/problem+json", router::problem_body(problem), more);
+}
+
+}  // namespace heronwell::daemon
--- /dev/null
+++ b/src/daemon/shard.hpp
@@ -0,0 +1,201 @@
+// A shard is one thread with its io_context, client connections and engine connections. A request lives on the
+// shard that read it, and so do the attempts made for it: its answer crosses no thread. Only events and
+// commands go to and from the decision strand, by mailboxes.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <variant>
+#include <vector>
+
+#include "daemon/config.hpp"
+#include "daemon/mailbox.hpp"
+#include "daemon/metrics.hpp"
+#include "fleet/list.hpp"
+#include "router/front.hpp"
+#include "router/host.hpp"
+#include "router/rows.hpp"
+#include "sql/result.hpp"
+
+namespace heronwell::daemon {
+
+namespace asio = boost::asio;
+using Executor = asio::io_context::executor_type;
+using Socket = asio::basic_stream_socket<asio::ip::tcp, Executor>;
+using Timer = asio::basic_waitable_timer<std::chrono::steady_clock,
+                                         asio::wait_traits<std::chrono::steady_clock>, Executor>;
+using router::Ticket;
+
+inline Time steady_now() { return std::chrono::steady_clock::now().time_since_epoch(); }
+inline Timer::time_point at(Time moment) {
+  return Timer::time_point(std::chrono::duration_cast<std::chrono::steady_clock::duration>(moment));
+}
+
+// ---- events for the decision strand ----------------------------------------------------------------------
+struct Took {
+  router::Ask ask;
+};
+struct Left {
+  Ticket ticket = 0;
+};
+struct Outgrown {
+  Ticket ticket = 0;
+  AttemptIndex attempt = 0;
+};
+struct Noted {
+  Ticket ticket = 0;
+  AttemptIndex attempt = 0;
+  NoteKind kind = NoteKind::progress;
+  double amount = 0;
+};
+struct Probed {
+  EngineId engine = 0;
+  Result result = Result::served;
+  Time latency{};
+  std::vector<double> load;
+};
+struct Listed {
+  bool failed = false;
+  std::vector<fleet::Entry> entries;
+};
+struct PeerCame {
+  std::uint32_t from = 0;
+  std::string bytes;
+};
+using Happening = std::variant<Took, Left, router::AttemptEnd, Outgrown, Noted, Probed, Listed, PeerCame>;
+struct Told {
+  Time at{};
+  Happening what;
+};
+using Inbox = Mailbox<Told, Executor>;
+
+// ---- commands for a shard --------------------------------------------------------------------------------
+using Fleet = std::map<EngineId, fleet::Known>;
+using Order = std::variant<router::Command, std::shared_ptr<const Fleet>>;
+
+class ClientConnection;
+class EngineConnection;
+class Shard;
+
+// What came of one attempt, for the client: JSON, or the engine's own error.
+struct Content {
+  std::string json;
+  std::string sqlstate, error;  // not empty: the statement's own fault
+};
+
+// A request of a client, from its last byte to the last byte of its answer.
+struct Exchange {
+  Ticket ticket = 0;  // 0: answered here, never taken
+  std::shared_ptr<ClientConnection> client;
+  std::shared_ptr<const std::string> statement;
+  ClassIndex cls = 0;
+  std::uint32_t tenant = 0;
+  Time began{}, deadline{};
+  bool keep_alive = true, head_only = false;
+  bool done = false;      // the final answer is whole
+  bool started = false;   // a byte of it may have gone out
+  bool streaming = false;
+  std::string buffered;   // while earlier answers of the connection are not whole
+  std::map<AttemptIndex, Content> contents;
+  unsigned attempts = 0;
+  EngineId engine = 0;  // of the last attempt
+};
+using ExchangePtr = std::shared_ptr<Exchange>;
+
+struct Attempt {
+  Ticket ticket = 0;  // 0: a probe
+  AttemptIndex number = 0;
+  EngineId engine = 0;
+  Time started{}, until{};
+  ExchangePtr exchange;
+  std::shared_ptr<const std::string> statement;
+  std::vector<std::pair<std::string, std::string>> settings;
+  bool stopped = false, reported = false;
+  bool asked_to_stream = false, streaming = false;
+  router::JsonRows rows;
+  Content content;
+  std::optional<Time> work;
+  double memory_mb = 0;
+  std::vector<double> load;
+  std::weak_ptr<EngineConnection> connection;
+};
+using AttemptPtr = std::shared_ptr<Attempt>;
+
+// Connections to one engine from one shard: idle ones are used again, newest first; no more than a cap.
+struct EnginePool {
+  EngineId id = 0;
+  asio::ip::tcp::endpoint address;
+  bool fit = true;  // listed as ready
+  std::vector<std::shared_ptr<EngineConnection>> idle;
+  std::unordered_set<EngineConnection*> all;
+};
+
+class Shard {
+ public:
+  Shard(const Config& config, Metrics& metrics, const router::Front& front, unsigned index, unsigned shards);
+  ~Shard();
+
+  asio::io_context& context() { return context_; }
+  Mailbox<Order, Executor>& orders() { return orders_; }
+  void bind(Inbox& inbox) { inbox_ = &inbox; }
+
+  // On the shard's own thread:
+  void serve(Socket socket);
+  void take(const ExchangePtr& exchange, router::Ask ask);  // hands a request to the decision strand
+  void left(const ExchangePtr& exchange);
+  void finished(const ExchangePtr& exchange, router::Termination end, int status);
+  void tell(Happening what) { inbox_->put(Told{steady_now(), std::move(what)}); }
+  void end_attempt(const AttemptPtr& attempt, sql::Seen seen, std::string_view code = {}, bool cancelled = false);
+  void note(const AttemptPtr& attempt, const sql::ErrorText& notice);
+  void parameter(const AttemptPtr& attempt, std::string_view name, std::string_view value);
+  void stop_serving();  // no new requests; connections close as they fall idle
+
+  [[nodiscard]] const Config& config() const { return config_; }
+  [[nodiscard]] const router::Front& front() const { return front_; }
+  Metrics& metrics() { return metrics_; }
+  EnginePool* pool(EngineId id);
+  [[nodiscard]] std::size_t pool_cap() const { return pool_cap_; }
+  [[nodiscard]] bool stopping() const { return stopping_; }
+  [[nodiscard]] std::size_t open() const { return exchanges_.size(); }
+  std::unordered_set<ClientConnection*>& clients() { return clients_; }
+
+  static unsigned shard_of(Ticket ticket) { return static_cast<unsigned>(ticket >> 56); }
+
+ private:
+  void carry_out(std::vector<Order>& orders);
+  void on(const router::StartAttempt& order);
+  void on(const router::StopAttempt& order);
+  void on(const router::Deliver& order);
+  void on(const router::BeginStream& order);
+  void on(const router::BreakStream& order);
+  void on(const router::Answer& order);
+  void on(const router::ProbeEngine& order);
+  void update(const Fleet& fleet);
+  void launch(const AttemptPtr& attempt);
+  ExchangePtr exchange(Ticket ticket);
+  void forget(const ExchangePtr& exchange);
+  void sweep();
+
+  const Config& config_;
+  Metrics& metrics_;
+  const router::Front& front_;
+  unsigned index_;
+  std::size_t pool_cap_;
+  asio::io_context context_{1};
+  Mailbox<Order, Executor> orders_;
+  Inbox* inbox_ = nullptr;
+  Timer sweeper_;
+  std::uint64_t tickets_ = 0;
+  bool stopping_ = false;
+  std::unordered_map<Ticket, ExchangePtr> exchanges_;
+  std::map<std::pair<Ticket, AttemptIndex>, AttemptPtr> attempts_;
+  std::map<EngineId, EnginePool> pools_;
+  std::unordered_set<ClientConnection*> clients_;
+};
+
+}  // namespace heronwell::daemon
