--- /dev/null
+++ b/src/cli/main.cpp
@@ -0,0 +1,162 @@
+// Sub-commands and exit codes: 0 done, 1 ran and failed, 2 wrong use or configuration, 3 could not start.
+#include <spdlog/sinks/basic_file_sink.h>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include <CLI/CLI.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/posix/stream_descriptor.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/system/system_error.hpp>
+#include <csignal>
+#include <iostream>
+
+#include "daemon/config.hpp"
+#include "daemon/server.hpp"
+#include "rehearsal/demo.hpp"
+#include "rehearsal/engine.hpp"
+
+namespace {
+
+using namespace heronwell;
+constexpr int kDone = 0, kFailed = 1, kWrongUse = 2, kNoStart = 3;
+constexpr Time kLongestStop = std::chrono::seconds(5);
+
+void open_log(const daemon::Config::Log& log) {
+  auto logger = log.file.empty() ? spdlog::stderr_logger_mt("heronwell") : spdlog::basic_logger_mt("heronwell", log.file);
+  logger->set_pattern(R"({"ts":"%Y-%m-%dT%H:%M:%S.%e%z","level":"%l","data":%v})");
+  logger->set_level(spdlog::level::from_str(log.level));
+  if (log.file.empty()) logger->flush_on(spdlog::level::info);
+  spdlog::set_default_logger(logger);
+  if (!log.file.empty()) spdlog::flush_every(std::chrono::seconds(1));
+}
+
+int serve(const daemon::Config& config) {
+  open_log(config.log);
+  daemon::Server server(config);
+  const auto port = server.port();
+  server.run([&] { std::cout << "listening http://" << config.listen.at.host << ":" << port << std::endl; }, kLongestStop);
+  spdlog::shutdown();
+  return kDone;
+}
+
+// Reads lines of standard input for as long as there are any.
+void read_lines(boost::asio::posix::stream_descriptor& input, boost::asio::streambuf& buffer, const auto& each) {
+  boost::asio::async_read_until(input, buffer, '\n', [&](boost::system::error_code error, std::size_t) {
+    if (error) return;
+    std::istream stream(&buffer);
+    std::string line;
+    std::getline(stream, line);
+    each(line);
+    read_lines(input, buffer, each);
+  });
+}
+
+int run_engine(const rehearsal::EngineOptions& options, const std::string& record) {
+  boost::asio::io_context context(1);
+  rehearsal::Recorder recorder(record, "engine", options.name);
+  rehearsal::Engine engine(context, options, recorder);
+  boost::asio::signal_set signals(context, SIGINT, SIGTERM);
+  signals.async_wait([&](auto, int) { context.stop(); });
+  boost::asio::posix::stream_descriptor input(context, ::dup(0));
+  boost::asio::streambuf buffer;
+  const auto command = [&](const std::string& line) {
+    if (const auto wrong = engine.command(line); !wrong.empty()) std::cerr << "engine: " << wrong << std::endl;
+  };
+  read_lines(input, buffer, command);
+  std::cout << "listening 127.0.0.1:" << engine.port() << std::endl;
+  context.run();
+  recorder.whole(rehearsal::steady_clock_now());
+  return kDone;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  std::signal(SIGPIPE, SIG_IGN);
+  CLI::App app{"heronwell, a workload manager for SQL engines", "heronwell"};
+  app.require_subcommand(1);
+
+  std::string config_file;
+  auto* serving = app.add_subcommand("serve", "Run a router");
+  serving->add_option("--config", config_file, "YAML file")->required();
+
+  auto* demo = app.add_subcommand("demo", "Stand-in engines, a list and one router on loopback");
+  std::uint16_t port = 8080;
+  unsigned engines = 3;
+  demo->add_option("--port", port, "Port to listen on; 0: any")->capture_default_str();
+  demo->add_option("--engines", engines, "Stand-in engines")->check(CLI::Range(1, 64))->capture_default_str();
+
+  auto* engine = app.add_subcommand("engine", "A stand-in engine; faults are read from standard input");
+  rehearsal::EngineOptions options;
+  std::string record, ramp = "0s", tip_window = "2s", progress = "0s";
+  bool cold = false;
+  engine->add_option("--name", options.name, "Its name")->capture_default_str();
+  engine->add_option("--port", options.port, "Port on 127.0.0.1; 0: any")->capture_default_str();
+  engine->add_option("--cores", options.traits.cores)->check(CLI::Range(0.1, 1e4))->capture_default_str();
+  engine->add_option("--disks", options.traits.disks)->check(CLI::Range(0.1, 1e4))->capture_default_str();
+  engine->add_option("--memory-mb", options.traits.memory_mb)->check(CLI::Range(1.0, 1e8))->capture_default_str();
+  engine->add_option("--sessions", options.traits.sessions)->check(CLI::Range(1, 1000000))->capture_default_str();
+  engine->add_option("--cold-from", options.traits.cold_from)->check(CLI::Range(0.01, 1.0))->capture_default_str();
+  engine->add_option("--ramp", ramp, "Until warm, such as 10s")->capture_default_str();
+  engine->add_option("--tip-multiple", options.traits.tip_multiple)->check(CLI::Range(0.0, 1e3))->capture_default_str();
+  engine->add_option("--tip-window", tip_window)->capture_default_str();
+  engine->add_option("--progress", progress, "Between notices of progress; 0s: none")->capture_default_str();
+  engine->add_option("--seed", options.seed)->capture_default_str();
+  engine->add_option("--record", record, "File for what its sockets see");
+  engine->add_flag("--cold", cold, "It starts cold");
+
+  auto* config = app.add_subcommand("config", "Configuration");
+  config->require_subcommand(1);
+  auto* check = config->add_subcommand("check", "Check a file and print the settings in force");
+  check->add_option("file", config_file, "YAML file")->required();
+
+  app.add_subcommand("version", "Print the version");
+
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& error) {
+    return app.exit(error) == 0 ? kDone : kWrongUse;
+  }
+  try {
+    const auto duration = [](const std::string& name, const std::string& text) {
+      const auto value = yaml::parse_duration(text);
+      if (!value) throw yaml::Error("command line:1:1: --" + name + ": expected a duration such as 800ms, not \"" + text + "\"");
+      return *value;
+    };
+    if (*serving) return serve(daemon::read_config(yaml::Section::file(config_file)));
+    if (*demo) {
+      const rehearsal::Demo stand_ins(engines);
+      return serve(daemon::read_config(yaml::Section::text(stand_ins.config(port), "demo")));
+    }
+    if (*engine) {
+      options.traits.ramp = duration("ramp", ramp);
+      options.traits.tip_window = duration("tip-window", tip_window);
+      options.progress_pace = duration("progress", progress);
+      options.warm = !cold;
+      return run_engine(options, record);
+    }
+    if (*check) {
+      const auto read = daemon::read_config(yaml::Section::file(config_file));
+      Gateway probe(read.module, 1);  // the module's own check of its settings
+      std::cout << daemon::effective(read);
+      return kDone;
+    }
+    std::cout << "heronwell " << HERONWELL_VERSION << std::endl;
+    return kDone;
+  } catch (const yaml::Error& error) {
+    std::cerr << error.what() << std::endl;
+    return kWrongUse;
+  } catch (const std::invalid_argument& error) {
+    std::cerr << config_file << ":1:1: " << error.what() << std::endl;
+    return kWrongUse;
+  } catch (const std::system_error& error) {
+    std::cerr << "heronwell: could not start: " << error.what() << std::endl;
+    return kNoStart;
+  } catch (const std::exception& error) {
+    std::cerr << "heronwell: " << error.what() << std::endl;
+    return kFailed;
+  }
+}
--- a/src/daemon/client.cpp
+++ b/src/daemon/client.cpp
@@ -24,10 +24,14 @@
       parser_(http::Role::request, shard.config().listen.limits) {
   shard_.clients().insert(this);
   shard_.metrics().connections->Increment();
+  shard_.metrics().clients->Increment();
   active_ = progress_ = steady_now();
 }
 
-ClientConnection::~ClientConnection() { shard_.clients().erase(this); }
+ClientConnection::~ClientConnection() {
+  shard_.clients().erase(this);
+  shard_.metrics().clients->Decrement();
+}
 
 void ClientConnection::start() {
   boost::system::error_code ignored;
--- a/src/daemon/server.cpp
+++ b/src/daemon/server.cpp
@@ -58,8 +58,7 @@
         retry->async_wait([this](boost::system::error_code) { accept(); });
         return;
       }
-      // Counted on this thread; each shard may hold its part.
-      if (static_cast<std::size_t>(metrics.clients->Value()) * shards.size() >= config.listen.connections) {
+      if (metrics.clients->Value() >= static_cast<double>(config.listen.connections)) {
         metrics.connections_refused->Increment();
       } else if (&shard == shards.front().get()) {
         shard.serve(std::move(socket));
--- a/src/daemon/shard.cpp
+++ b/src/daemon/shard.cpp
@@ -61,7 +61,6 @@
 }
 
 void Shard::serve(Socket socket) {
-  metrics_.clients->Set(static_cast<double>(clients_.size() + 1));
   std::make_shared<ClientConnection>(*this, std::move(socket))->start();
 }
 
--- /dev/null
+++ b/src/rehearsal/list.cpp
@@ -0,0 +1,164 @@
+#include "rehearsal/list.hpp"
+
+#include <fmt/format.h>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <charconv>
+#include <set>
+
+#include "base/yaml.hpp"
+#include "http/message.hpp"
+
+namespace heronwell::rehearsal {
+namespace {
+
+namespace asio = boost::asio;
+using Executor = asio::io_context::executor_type;
+using Socket = asio::basic_stream_socket<asio::ip::tcp, Executor>;
+using Acceptor = asio::basic_socket_acceptor<asio::ip::tcp, Executor>;
+using Timer = asio::basic_waitable_timer<std::chrono::steady_clock, asio::wait_traits<std::chrono::steady_clock>, Executor>;
+constexpr auto kToken = asio::use_awaitable_t<Executor>{};
+constexpr std::string_view kPath = "/v1/health/service/";
+
+std::string parameter(std::string_view target, std::string_view name) {
+  auto query = target.substr(std::min(target.find('?'), target.size()));
+  while (!query.empty()) {
+    query.remove_prefix(1);
+    const auto pair = query.substr(0, query.find('&'));
+    query.remove_prefix(pair.size());
+    if (pair.starts_with(name) && pair.size() > name.size() && pair[name.size()] == '=')
+      return std::string(pair.substr(name.size() + 1));
+  }
+  return "";
+}
+
+}  // namespace
+
+struct ListServer::Parts : std::enable_shared_from_this<Parts> {
+  Parts(asio::io_context& io, std::uint16_t port, Recorder& to)
+      : context(io), recorder(to), acceptor(io.get_executor()), changed(io.get_executor(), Timer::time_point::max()) {
+    const asio::ip::tcp::endpoint at(asio::ip::make_address("127.0.0.1"), port);
+    acceptor.open(at.protocol());
+    acceptor.set_option(Acceptor::reuse_address(true));
+    acceptor.bind(at);
+    acceptor.listen(1024);
+  }
+
+  void accept() {
+    acceptor.async_accept([self = shared_from_this()](boost::system::error_code error, Socket from) {
+      if (!self->acceptor.is_open()) return;
+      if (!error) {
+        auto socket = std::make_shared<Socket>(std::move(from));
+        self->sockets.insert(socket);
+        asio::co_spawn(
+            self->context.get_executor(), [self, socket] { return self->serve(socket); }, asio::detached);
+      }
+      self->accept();
+    });
+  }
+
+  asio::awaitable<void, Executor> serve(std::shared_ptr<Socket> socket) {
+    http::Parser parser(http::Role::request);
+    std::string buffer;
+    std::array<char, 4096> chunk{};
+    boost::system::error_code error;
+    while (!away && !error) {
+      const auto step = parser.next(buffer);
+      buffer.erase(0, step.consumed);
+      if (step.event == http::Parser::Event::error) break;
+      if (step.event == http::Parser::Event::end) {
+        error = co_await answer(socket, parser);
+      } else if (step.event == http::Parser::Event::need_more) {
+        const auto got = co_await socket->async_read_some(asio::buffer(chunk), asio::redirect_error(kToken, error));
+        buffer.append(chunk.data(), got);
+      }
+    }
+    boost::system::error_code ignored;
+    socket->close(ignored);
+    sockets.erase(socket);
+  }
+
+  asio::awaitable<boost::system::error_code, Executor> answer(std::shared_ptr<Socket> socket, const http::Parser& parser) {
+    const std::string target(parser.target());
+    const std::string gateway(parser.find("x-heronwell-gateway").value_or("-"));
+    boost::system::error_code error;
+    std::string out;
+    if (!target.starts_with(kPath)) {
+      http::put_response(out, 404, "text/plain", 0, true);
+      co_await asio::async_write(*socket, asio::buffer(out), asio::redirect_error(kToken, error));
+      co_return error;
+    }
+    std::uint64_t known = 0;
+    const auto asked = parameter(target, "index");
+    std::from_chars(asked.data(), asked.data() + asked.size(), known);
+    const auto wait = yaml::parse_duration(parameter(target, "wait")).value_or(std::chrono::minutes(5));
+    const auto until = std::chrono::steady_clock::now() + wait;
+    while (known >= index && !away && std::chrono::steady_clock::now() < until && acceptor.is_open()) {
+      Timer timer(context.get_executor(), std::min(until, std::chrono::steady_clock::now() + std::chrono::milliseconds(5)));
+      co_await timer.async_wait(asio::redirect_error(kToken, error));
+    }
+    if (away || !acceptor.is_open()) co_return asio::error::connection_aborted;
+    const auto body = fleet::write_consul(entries, "sql");
+    http::put_response(out, 200, "application/json", body.size(), true, {{"x-consul-index", std::to_string(index)}});
+    out += body;
+    std::string states;
+    for (const auto& entry : entries)
+      states += fmt::format(R"({}"{}":{{"state":{},"zone":"{}","kind":"{}","started_ms":{}}})", states.empty() ? "" : ",",
+                            entry.name, static_cast<int>(entry.state), entry.zone, entry.kind, entry.started_ms);
+    const auto told = index;
+    co_await asio::async_write(*socket, asio::buffer(out), asio::redirect_error(kToken, error));
+    if (!error)
+      recorder.write(steady_clock_now(), "told",
+                     fmt::format(R"("gw":"{}","index":{},"engines":{{{}}})", gateway, told, states));
+    co_return error;
+  }
+
+  void close() {
+    boost::system::error_code ignored;
+    acceptor.close(ignored);
+    for (const auto& socket : sockets) socket->close(ignored);
+  }
+
+  asio::io_context& context;
+  Recorder& recorder;
+  Acceptor acceptor;
+  Timer changed;
+  std::set<std::shared_ptr<Socket>> sockets;
+  std::vector<fleet::Entry> entries;
+  std::uint64_t index = 1;
+  bool away = false;
+  Time late{};
+};
+
+ListServer::ListServer(boost::asio::io_context& context, std::uint16_t port, Recorder& recorder)
+    : parts_(std::make_shared<Parts>(context, port, recorder)) {
+  parts_->accept();
+}
+ListServer::~ListServer() { parts_->close(); }
+std::uint16_t ListServer::port() const { return parts_->acceptor.local_endpoint().port(); }
+
+void ListServer::set(std::vector<fleet::Entry> entries) {
+  auto timer = std::make_shared<Timer>(parts_->context.get_executor());
+  timer->expires_after(std::chrono::duration_cast<std::chrono::steady_clock::duration>(parts_->late));
+  timer->async_wait([parts = parts_, timer, entries = std::move(entries)](boost::system::error_code) {
+    parts->entries = entries;
+    ++parts->index;
+  });
+}
+void ListServer::late(Time by) { parts_->late = by; }
+void ListServer::away(bool is) {
+  parts_->away = is;
+  boost::system::error_code ignored;
+  if (is)
+    for (const auto& socket : parts_->sockets) socket->close(ignored);
+}
+
+}  // namespace heronwell::rehearsal
--- /dev/null
+++ b/src/rehearsal/list.hpp
@@ -0,0 +1,32 @@
+// A stand-in engine list: Consul's health API with blocking queries on a loopback socket. It records when it
+// told which gateway what, and can be late or away on command.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "fleet/list.hpp"
+#include "rehearsal/record.hpp"
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace heronwell::rehearsal {
+
+class ListServer {
+ public:
+  ListServer(boost::asio::io_context& context, std::uint16_t port, Recorder& recorder);
+  ~ListServer();
+  [[nodiscard]] std::uint16_t port() const;
+  void set(std::vector<fleet::Entry> entries);
+  void late(Time by);     // changes are told so much later
+  void away(bool is);     // closes what asks
+
+ private:
+  struct Parts;
+  std::shared_ptr<Parts> parts_;
+};
+
+}  // namespace heronwell::rehearsal
