--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -8,15 +8,24 @@
 #include <boost/asio/posix/stream_descriptor.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/streambuf.hpp>
 #include <boost/system/system_error.hpp>
 #include <csignal>
+#include <filesystem>
+#include <fstream>
 #include <iostream>
+#include <sstream>
 
 #include "daemon/config.hpp"
 #include "daemon/server.hpp"
+#include "fleet/list.hpp"
+#include "rehearsal/audit.hpp"
+#include "rehearsal/day.hpp"
 #include "rehearsal/demo.hpp"
 #include "rehearsal/engine.hpp"
+#include "rehearsal/list.hpp"
+#include "rehearsal/load.hpp"
 
 namespace {
 
@@ -72,6 +81,77 @@
   return kDone;
 }
 
+// A list served from a watched YAML file; "late_ms N" and "away 1" are read from standard input.
+int run_list(const std::string& file, std::uint16_t port, const std::string& record) {
+  boost::asio::io_context context(1);
+  rehearsal::Recorder recorder(record, "list", "list");
+  rehearsal::ListServer list(context, port, recorder);
+  boost::asio::signal_set signals(context, SIGINT, SIGTERM);
+  signals.async_wait([&](auto, int) { context.stop(); });
+  boost::asio::posix::stream_descriptor input(context, ::dup(0));
+  boost::asio::streambuf buffer;
+  const auto command = [&](const std::string& line) {
+    std::istringstream words(line);
+    std::string what;
+    double value = 0;
+    words >> what >> value;
+    recorder.write(rehearsal::steady_clock_now(), "fault", fmt::format(R"("what":"{}","value":{})", what, value));
+    if (what == "late_ms") list.late(Time(static_cast<std::int64_t>(value * 1e6)));
+    if (what == "away") list.away(value > 0);
+  };
+  read_lines(input, buffer, command);
+  boost::asio::steady_timer timer(context);
+  std::string last;
+  const std::function<void()> look = [&] {
+    std::ifstream stream(file);
+    std::stringstream text;
+    text << stream.rdbuf();
+    if (stream && text.str() != last) {
+      last = text.str();
+      list.set(fleet::read_yaml(last, file));
+    }
+    timer.expires_after(std::chrono::milliseconds(10));
+    timer.async_wait([&](boost::system::error_code error) {
+      if (!error) look();
+    });
+  };
+  look();
+  std::cout << "listening 127.0.0.1:" << list.port() << std::endl;
+  context.run();
+  recorder.whole(rehearsal::steady_clock_now());
+  return kDone;
+}
+
+int run_load(const std::string& file, const std::string& ports, std::int64_t start, const std::string& record) {
+  const auto day = rehearsal::read_day(file);
+  std::vector<std::uint16_t> to;
+  std::istringstream words(ports);
+  for (std::string word; std::getline(words, word, ',');) to.push_back(static_cast<std::uint16_t>(std::stoul(word)));
+  if (to.size() != day.gateways) throw yaml::Error(fmt::format("command line:1:1: --ports: expected {} ports", day.gateways));
+  rehearsal::Recorder recorder(record, "clients", "clients");
+  const auto r = rehearsal::play(day, to, start > 0 ? Time(start) : rehearsal::steady_clock_now(), recorder);
+  recorder.whole(rehearsal::steady_clock_now());
+  std::cout << fmt::format("sent {} served {} refused {} failed {} other {} broken {} unconnected {} hung_up {} late_ns {}", r.sent, r.served,
+                           r.refused, r.failed, r.other, r.broken, r.unconnected, r.hung_up, r.worst_lateness.count())
+            << std::endl;
+  return kDone;
+}
+
+int audit_day(const std::string& folder) {
+  const auto result = rehearsal::audit(folder);
+  std::cout << rehearsal::report(result) << std::flush;
+  return result.kept() ? kDone : kFailed;
+}
+
+int run_day(const std::string& file, const std::string& folder) {
+  const auto day = rehearsal::read_day(file);
+  const auto r = rehearsal::run_day(day, folder, std::filesystem::read_symlink("/proc/self/exe"));
+  std::cout << fmt::format("sent {}, served {}, refused {}, failed {}, other {}, broken {}, unconnected {}, hung up {}; generator late by {:.1f} ms at most\n",
+                           r.sent, r.served, r.refused, r.failed, r.other, r.broken, r.unconnected, r.hung_up, milliseconds(r.worst_lateness));
+  std::cout << "records in " << folder << "; heronwell audit " << folder << std::endl;
+  return kDone;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -113,6 +193,29 @@
   auto* check = config->add_subcommand("check", "Check a file and print the settings in force");
   check->add_option("file", config_file, "YAML file")->required();
 
+  auto* list = app.add_subcommand("list", "A stand-in engine list, served as Consul's health API");
+  std::string file, folder, ports;
+  std::uint16_t list_port = 0;
+  std::int64_t start = 0;
+  list->add_option("file", file, "YAML file of engines, watched")->required();
+  list->add_option("--port", list_port, "Port on 127.0.0.1; 0: any")->capture_default_str();
+  list->add_option("--record", record, "File for what its sockets see");
+
+  auto* load = app.add_subcommand("load", "Clients that play a day's arrivals against running routers");
+  load->add_option("day", file, "Day file")->required();
+  load->add_option("--ports", ports, "The routers' ports on 127.0.0.1, by commas")->required();
+  load->add_option("--start", start, "Start, in ns of the monotonic clock; 0: now");
+  load->add_option("--record", record, "File for what its sockets see");
+
+  auto* days = app.add_subcommand("day", "Days: real processes, faults, records");
+  days->require_subcommand(1);
+  auto* day_run = days->add_subcommand("run", "Play a day");
+  day_run->add_option("file", file, "Day file")->required();
+  day_run->add_option("--out", folder, "Folder for its records")->required();
+
+  auto* auditing = app.add_subcommand("audit", "Prove the seven rules from a day's records");
+  auditing->add_option("folder", folder, "Folder of a day's records")->required();
+
   app.add_subcommand("version", "Print the version");
 
   try {
@@ -138,6 +241,10 @@
       options.warm = !cold;
       return run_engine(options, record);
     }
+    if (*list) return run_list(file, list_port, record);
+    if (*load) return run_load(file, ports, start, record);
+    if (*day_run) return run_day(file, folder);
+    if (*auditing) return audit_day(folder);
     if (*check) {
       const auto read = daemon::read_config(yaml::Section::file(config_file));
       Gateway probe(read.module, 1);  // the module's own check of its settings
--- /dev/null
+++ b/src/rehearsal/day.cpp
@@ -0,0 +1,289 @@
+#include "rehearsal/day.hpp"
+
+#include <fmt/format.h>
+#include <netinet/in.h>
+#include <signal.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <functional>
+#include <map>
+#include <random>
+#include <set>
+#include <thread>
+
+#include "fleet/list.hpp"
+#include "rehearsal/process.hpp"
+
+namespace heronwell::rehearsal {
+namespace {
+
+using namespace std::chrono_literals;
+constexpr Time kStart = 10s;          // for a process to say that it listens
+constexpr Time kDrainToGone = 1500ms;  // from draining to gone in the list
+
+std::int64_t unix_ms() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+}
+
+// UDP ports that are free now; held open until all are found, so that none comes twice.
+std::vector<std::uint16_t> free_udp_ports(unsigned count) {
+  std::vector<std::uint16_t> ports;
+  std::vector<int> files;
+  for (unsigned i = 0; i < count; ++i) {
+    const int file = ::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof address;
+    ::bind(file, reinterpret_cast<sockaddr*>(&address), size);
+    ::getsockname(file, reinterpret_cast<sockaddr*>(&address), &size);
+    ports.push_back(ntohs(address.sin_port));
+    files.push_back(file);
+  }
+  for (const int file : files) ::close(file);
+  return ports;
+}
+
+class Stage {
+ public:
+  Stage(const Day& day, std::string folder, std::string program)
+      : day_(day), folder_(std::move(folder)), program_(std::move(program)), recorder_(folder_ + "/day.jsonl", "day", "day"),
+        engines_(day.engines), entries_(day.engines), gateways_(day.gateways), ports_(day.gateways) {}
+
+  LoadReport run() {
+    for (unsigned i = 0; i < day_.engines; ++i) start_engine(i, false);
+    write_list();
+    list_ = Process({program_, "list", folder_ + "/list.yaml", "--record", folder_ + "/list.jsonl"}, folder_ + "/list.log");
+    list_port_ = port_of(list_.line(kStart));
+    peers_ = free_udp_ports(day_.gateways);
+    std::ofstream(folder_ + "/key") << "a day's key is no secret: 0123456789abcdef\n";
+    for (unsigned i = 0; i < day_.gateways; ++i) start_gateway(i, 0);
+    for (unsigned i = 0; i < day_.gateways; ++i) ports_[i] = port_of(gateways_[i].line(kStart));
+    schedule();
+    start_ = steady_clock_now() + 500ms;
+    std::string targets;
+    for (const auto port : ports_) targets += (targets.empty() ? "" : ",") + std::to_string(port);
+    Process clients({program_, "load", day_.file, "--ports", targets, "--start", std::to_string(start_.count()), "--record",
+                     folder_ + "/clients.jsonl"},
+                    folder_ + "/clients.log");
+    for (const auto& [at, step] : steps_) {
+      std::this_thread::sleep_until(std::chrono::steady_clock::time_point(start_ + at));
+      step();
+    }
+    const auto report = read_report(clients.line(day_.length + day_.tail + 120s));
+    if (clients.wait() != 0) throw std::runtime_error("the clients failed: see clients.log");
+    std::this_thread::sleep_for(day_.tail);
+    for (auto& gateway : gateways_) end(gateway, "a router");
+    end(list_, "the list");
+    for (auto& engine : engines_) end(engine, "an engine");
+    recorder_.whole(steady_clock_now());
+    return report;
+  }
+
+ private:
+  static std::uint16_t port_of(const std::string& line) {
+    const auto colon = line.rfind(':');
+    if (colon == std::string::npos) throw std::runtime_error("a process of the day said: " + line);
+    return static_cast<std::uint16_t>(std::stoul(line.substr(colon + 1)));
+  }
+  static LoadReport read_report(const std::string& line) {
+    LoadReport r;
+    std::int64_t late = 0;
+    std::sscanf(line.c_str(), "sent %lu served %lu refused %lu failed %lu other %lu broken %lu unconnected %lu hung_up %lu late_ns %ld",
+                &r.sent, &r.served, &r.refused, &r.failed, &r.other, &r.broken, &r.unconnected, &r.hung_up, &late);
+    r.worst_lateness = Time(late);
+    return r;
+  }
+  static void end(Process& process, const char* what) {
+    process.signal(SIGCONT);
+    process.signal(SIGTERM);
+    if (!process.wait(15s)) throw std::runtime_error(std::string(what) + " did not end");
+  }
+  void record(std::string_view what, std::string_view whom, unsigned number) {
+    recorder_.write(steady_clock_now(), what, fmt::format(R"("{}":"{}{}")", whom, whom == "gw" ? "gw-" : "engine-", number));
+  }
+
+  void start_engine(unsigned i, bool cold) {
+    const auto& t = day_.traits;
+    const auto name = fmt::format("engine-{}", i);
+    std::vector<std::string> arguments{program_, "engine", "--name", name, "--port", std::to_string(entries_[i].port),
+                                       "--cores", fmt::format("{}", t.cores), "--disks", fmt::format("{}", t.disks),
+                                       "--memory-mb", fmt::format("{}", t.memory_mb), "--sessions", std::to_string(t.sessions),
+                                       "--cold-from", fmt::format("{}", t.cold_from), "--ramp", fmt::format("{}ns", t.ramp.count()),
+                                       "--tip-multiple", fmt::format("{}", t.tip_multiple), "--tip-window",
+                                       fmt::format("{}ns", t.tip_window.count()), "--progress",
+                                       fmt::format("{}ns", day_.progress.count()), "--seed", std::to_string(day_.seed + i),
+                                       "--record", folder_ + "/" + name + ".jsonl"};
+    if (cold) arguments.emplace_back("--cold");
+    record(cold ? "engine_started_cold" : "engine_started", "engine", i);
+    engines_[i] = Process(arguments, folder_ + "/" + name + ".log");
+    auto& entry = entries_[i];
+    entry.name = name;
+    entry.host = "127.0.0.1";
+    entry.port = port_of(engines_[i].line(kStart));
+    entry.zone = day_.names.zones[zone_of(day_, i)];
+    entry.kind = day_.names.kinds[kind_of(day_, i)];
+    entry.started_ms = cold ? unix_ms() : 0;
+  }
+
+  void start_gateway(unsigned i, std::uint16_t port) {
+    const auto file = fmt::format("{}/gw-{}.yaml", folder_, i);
+    YAML::Node config = YAML::Load(day_.router);
+    config["gateway"]["name"] = fmt::format("gw-{}", i);
+    config["gateway"]["number"] = i;
+    config["gateway"]["threads"] = day_.threads;
+    config["gateway"]["seed"] = day_.seed * 1000 + i;
+    config["gateway"]["zone"] = day_.names.zones[i % day_.names.zones.size()];
+    config["listen"]["port"] = port;
+    YAML::Node at;
+    at["port"] = list_port_;
+    config["list"]["consul"].push_back(at);
+    if (day_.settings.may_tell) {
+      config["peers"]["port"] = peers_[i];
+      config["peers"]["key_file"] = folder_ + "/key";
+      for (unsigned n = 0; n < day_.gateways; ++n) {
+        YAML::Node member;
+        member["number"] = n;
+        member["port"] = peers_[n];
+        config["peers"]["members"].push_back(member);
+      }
+    }
+    std::ofstream(file) << YAML::Dump(config) << "\n";
+    record("gateway_started", "gw", i);
+    gateways_[i] = Process({program_, "serve", "--config", file}, fmt::format("{}/gw-{}.log", folder_, i));
+  }
+
+  void write_list() {
+    YAML::Node list;
+    list["engines"] = YAML::Node(YAML::NodeType::Sequence);
+    for (const auto& entry : entries_) {
+      YAML::Node node;
+      node["name"] = entry.name;
+      node["port"] = entry.port;
+      node["zone"] = entry.zone;
+      node["kind"] = entry.kind;
+      node["state"] = std::array{"draining", "ready", "gone"}[static_cast<std::size_t>(entry.state)];
+      node["started_ms"] = entry.started_ms;
+      list["engines"].push_back(node);
+    }
+    std::ofstream(folder_ + "/list.yaml.new") << YAML::Dump(list) << "\n";
+    std::filesystem::rename(folder_ + "/list.yaml.new", folder_ + "/list.yaml");
+  }
+
+  void at(Time when, std::function<void()> what) { steps_.emplace(when, std::move(what)); }
+
+  void schedule() {
+    for (const auto& t : day_.troubles) {
+      const auto begin = t.at, over = t.at + t.length;
+      at(begin, [this, &t] { recorder_.write(steady_clock_now(), "trouble", fmt::format(R"("kind":"{}")", name_of(t.kind))); });
+      const auto fault = [&](const char* word, double on, double off) {
+        for (const auto i : t.targets) {
+          at(begin, [this, i, line = fmt::format("{} {}", word, on)] { engines_[i].say(line); });
+          at(over, [this, i, line = fmt::format("{} {}", word, off)] { engines_[i].say(line); });
+        }
+      };
+      using enum TroubleKind;
+      switch (t.kind) {
+        case engine_slow: fault("slow", t.size, 1); break;
+        case engine_swallow: fault("swallow", t.size, 0); break;
+        case engine_fail: fault("fail", t.size, 0); break;
+        case engine_reset_before: fault("reset_before", t.size, 0); break;
+        case engine_reset_after: fault("reset_after", t.size, 0); break;
+        case engine_cut: fault("cut", t.size, 0); break;
+        case engine_turn_away: fault("turn_away", t.size, 0); break;
+        case loads_late: fault("late_loads_ms", t.size, 0); break;
+        case list_late:
+          at(begin, [this, &t] { list_.say(fmt::format("late_ms {}", t.size)); });
+          at(over, [this] { list_.say("late_ms 0"); });
+          break;
+        case list_away:
+          at(begin, [this] { list_.say("away 1"); });
+          at(over, [this] { list_.say("away 0"); });
+          break;
+        case engine_kill: case engine_hang: case engine_drain: case gateway_stop: case gateway_kill:
+          for (const auto i : t.targets) strike(t.kind, i, begin, over);
+          break;
+        case burst: case flood: case hot_group: case hang_ups: break;  // the clients' own
+      }
+    }
+  }
+
+  void strike(TroubleKind kind, unsigned i, Time begin, Time over) {
+    using enum TroubleKind;
+    if (kind == engine_kill) {
+      at(begin, [this, i] {
+        engines_[i].signal(SIGKILL);
+        engines_[i].wait();
+        record("engine_killed", "engine", i);
+      });
+      at(over, [this, i] {
+        start_engine(i, true);
+        write_list();
+      });
+    } else if (kind == engine_hang) {
+      at(begin, [this, i] {
+        record("engine_stopped", "engine", i);
+        engines_[i].signal(SIGSTOP);
+      });
+      at(over, [this, i] {
+        engines_[i].signal(SIGCONT);
+        record("engine_continued", "engine", i);
+      });
+    } else if (kind == engine_drain) {
+      const auto mark = [this, i](EngineState state) {
+        entries_[i].state = state;
+        write_list();
+      };
+      at(begin, [mark] { mark(EngineState::draining); });
+      if (begin + kDrainToGone < over) at(begin + kDrainToGone, [mark] { mark(EngineState::gone); });
+      at(over, [mark] { mark(EngineState::ready); });
+    } else if (kind == gateway_stop) {
+      at(begin, [this, i] {
+        record("gateway_stopped", "gw", i);
+        gateways_[i].signal(SIGSTOP);
+      });
+      at(over, [this, i] {
+        gateways_[i].signal(SIGCONT);
+        record("gateway_continued", "gw", i);
+      });
+    } else {
+      at(begin, [this, i] {
+        record("gateway_killed", "gw", i);
+        gateways_[i].signal(SIGKILL);
+        gateways_[i].wait();
+      });
+      at(over, [this, i] {
+        start_gateway(i, ports_[i]);
+        gateways_[i].line(kStart);
+      });
+    }
+  }
+
+  const Day& day_;
+  std::string folder_, program_;
+  Recorder recorder_;
+  std::vector<Process> engines_;
+  std::vector<fleet::Entry> entries_;
+  std::vector<Process> gateways_;
+  std::vector<std::uint16_t> ports_, peers_;
+  Process list_;
+  std::uint16_t list_port_ = 0;
+  Time start_{};
+  std::multimap<Time, std::function<void()>> steps_;
+};
+
+}  // namespace
+
+LoadReport run_day(const Day& day, const std::string& folder, const std::string& program) {
+  std::filesystem::create_directories(folder);
+  for (const auto& old : std::filesystem::directory_iterator(folder))
+    if (old.path().extension() == ".jsonl") std::filesystem::remove(old.path());  // of an earlier run
+  std::filesystem::copy_file(day.file, folder + "/day.yaml", std::filesystem::copy_options::overwrite_existing);
+  return Stage(day, folder, program).run();
+}
+
+}  // namespace heronwell::rehearsal
--- a/src/rehearsal/engine.cpp
+++ b/src/rehearsal/engine.cpp
@@ -336,6 +336,8 @@
       jobs.erase(c.job);
       c.job = 0;
       arm();
+    } else if (c.busy && !c.request.plain) {
+      record("closed", c, c.request.id);
     }
     connections.erase(c.shared_from_this());
   }
@@ -352,6 +354,7 @@
     notes.cancel();
     for (const auto& c : std::set(connections)) {
       c->job = 0;
+      c->busy = false;
       c->close(true);
     }
     jobs.clear();
--- /dev/null
+++ b/src/rehearsal/load.cpp
@@ -0,0 +1,201 @@
+#include "rehearsal/load.hpp"
+
+#include <fmt/format.h>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <memory>
+#include <nlohmann/json.hpp>
+
+#include "http/message.hpp"
+
+namespace heronwell::rehearsal {
+namespace {
+
+namespace asio = boost::asio;
+using namespace std::chrono_literals;
+using Executor = asio::io_context::executor_type;
+using Socket = asio::basic_stream_socket<asio::ip::tcp, Executor>;
+using Timer = asio::basic_waitable_timer<std::chrono::steady_clock, asio::wait_traits<std::chrono::steady_clock>, Executor>;
+constexpr auto kToken = asio::use_awaitable_t<Executor>{};
+constexpr Time kPatience = 5s;       // past its deadline, before a client records that no answer came
+constexpr Time kUsualPause = 200ms;  // before a retry, where the answer does not say
+constexpr std::size_t kKeptBody = 4096;
+
+struct Connection {
+  explicit Connection(asio::io_context& context) : socket(context.get_executor()) {}
+  Socket socket;
+  http::Parser parser{http::Role::response, {8 << 10, 32 << 10, 100, 1ULL << 40}};
+  std::string buffer;
+};
+using Ptr = std::shared_ptr<Connection>;
+
+class Clients {
+ public:
+  Clients(const Day& day, const std::vector<std::uint16_t>& ports, Time start, Recorder& recorder)
+      : day_(day), ports_(ports), start_(start), recorder_(recorder), asks_(draw(day)), idle_(ports.size()), timer_(context_.get_executor()) {}
+
+  LoadReport run() {
+    next();
+    context_.run();
+    return report_;
+  }
+
+ private:
+  static Timer::time_point at(Time t) { return Timer::time_point(t); }
+
+  void next() {
+    while (at_ < asks_.size() && start_ + asks_[at_].at <= steady_clock_now()) {
+      const auto& ask = asks_[at_++];
+      report_.worst_lateness = std::max(report_.worst_lateness, steady_clock_now() - start_ - ask.at);
+      spawn(ask, 0);
+    }
+    if (at_ == asks_.size()) return;
+    timer_.expires_at(at(start_ + asks_[at_].at));
+    timer_.async_wait([this](boost::system::error_code error) {
+      if (!error) next();
+    });
+  }
+
+  void spawn(const Ask& ask, unsigned retry) {
+    asio::co_spawn(
+        context_.get_executor(), [this, &ask, retry] { return request(ask, retry); }, asio::detached);
+  }
+
+  void write(std::string_view event, const std::string& id, const std::string& more = "") {
+    recorder_.write(steady_clock_now(), event, fmt::format(R"("id":"{}"{}{})", id, more.empty() ? "" : ",", more));
+  }
+
+  asio::awaitable<void, Executor> request(const Ask& ask, unsigned retry) {
+    const auto& cls = day_.settings.classes[ask.cls];
+    const auto& load = day_.loads[ask.cls];
+    const auto id = retry == 0 ? fmt::format("q{}", ask.number) : fmt::format("q{}.{}", ask.number, retry);
+    const auto deadline = std::min(load.timeout.value_or(cls.give_up), cls.give_up);
+    boost::system::error_code error;
+    Ptr c;
+    auto& idle = idle_[ask.gateway];
+    if (!idle.empty()) {
+      c = idle.back();
+      idle.pop_back();
+    } else {
+      c = std::make_shared<Connection>(context_);
+      co_await c->socket.async_connect({asio::ip::make_address("127.0.0.1"), ports_[ask.gateway]}, asio::redirect_error(kToken, error));
+      if (error) {
+        ++report_.unconnected;
+        write("unconnected", id, fmt::format(R"("gw":"gw-{}","cls":"{}")", ask.gateway, cls.name));
+        co_return;
+      }
+      c->socket.set_option(asio::ip::tcp::no_delay(true), error);
+    }
+    std::string out;
+    const auto body = body_of(day_, ask, id, retry > 0);
+    const auto timeout = std::to_string(deadline / 1ms);
+    std::vector<http::Field> more;
+    if (load.timeout) more.push_back({"heronwell-timeout-ms", timeout});
+    http::put_request(out, "POST", "/v1/query", "127.0.0.1", body, more);
+    ++report_.sent;
+    write("sent", id,
+          fmt::format(R"("gw":"gw-{}","cls":"{}","tenant":{},"key":{},"group":{},"deadline_ms":{},"work_ms":{:.3f},"first":"q{}")",
+                      ask.gateway, cls.name, ask.tenant, ask.key, ask.group, timeout, ask.work_ms, ask.number));
+    const auto sent = steady_clock_now();
+    Timer limit(context_.get_executor(), at(sent + (ask.hang_up && retry == 0 ? *ask.hang_up : deadline + kPatience)));
+    bool gave_up = false;
+    limit.async_wait([&gave_up, c](boost::system::error_code aborted) {
+      if (aborted) return;
+      gave_up = true;
+      boost::system::error_code ignored;
+      c->socket.close(ignored);
+    });
+    co_await asio::async_write(c->socket, asio::buffer(out), asio::redirect_error(kToken, error));
+    std::string answer;
+    std::uint64_t bytes = 0;
+    std::array<char, 16384> chunk{};
+    bool whole = false, head = false;
+    while (!error && !whole) {
+      while (true) {
+        const auto step = c->parser.next(c->buffer);
+        if (step.event == http::Parser::Event::body) {
+          bytes += step.body.size();
+          if (answer.size() < kKeptBody) answer.append(step.body);
+        }
+        c->buffer.erase(0, step.consumed);
+        head = head || step.event == http::Parser::Event::head;
+        if (step.event == http::Parser::Event::error) error = asio::error::invalid_argument;
+        if (step.event == http::Parser::Event::end) whole = c->parser.status() >= 200;
+        if (step.event == http::Parser::Event::need_more || error || whole) break;
+      }
+      if (error || whole) break;
+      const auto got = co_await c->socket.async_read_some(asio::buffer(chunk), asio::redirect_error(kToken, error));
+      c->buffer.append(chunk.data(), got);
+    }
+    limit.cancel();
+    if (gave_up) {
+      ++(ask.hang_up ? report_.hung_up : report_.broken);
+      write(ask.hang_up ? "hung_up" : "gave_up", id);
+      co_return;
+    }
+    if (!whole) {
+      ++report_.broken;
+      write("broken", id, fmt::format(R"("head":{},"bytes":{})", head, bytes));
+      co_return;
+    }
+    const int status = c->parser.status();
+    const auto json = status == 200 ? nlohmann::json() : nlohmann::json::parse(answer, nullptr, false);
+    const auto outcome = status == 200 ? "served" : json.is_object() ? json.value("outcome", "?") : "?";
+    write("answer", id,
+          fmt::format(R"("status":{},"outcome":"{}","ms":{:.3f},"bytes":{})", status, outcome,
+                      std::chrono::duration<double, std::milli>(steady_clock_now() - sent).count(), bytes));
+    ++(outcome == "served" ? report_.served : outcome == "refused" ? report_.refused : outcome == "failed" ? report_.failed : report_.other);
+    if (!c->buffer.empty()) {
+      write("extra", id);
+    } else if (c->parser.keep_alive()) {
+      idle.push_back(c);
+      watch(c, ask.gateway, id);
+    }
+    const bool again = outcome == "refused" || (outcome == "failed" && cls.effect == Effect::safe);
+    if (!again || retry >= day_.retries) co_return;
+    const auto pause = json.is_object() && json.contains("retry_after_ms") ? Time(json["retry_after_ms"].get<std::int64_t>() * 1ms) : kUsualPause;
+    Timer wait(context_.get_executor(), at(steady_clock_now() + pause));
+    co_await wait.async_wait(asio::redirect_error(kToken, error));
+    spawn(ask, retry + 1);
+  }
+
+  // Nothing may come on a connection that owes nothing.
+  void watch(const Ptr& c, unsigned gateway, const std::string& id) {
+    c->socket.async_wait(Socket::wait_read, [this, c, gateway, id](boost::system::error_code error) {
+      auto& idle = idle_[gateway];
+      const auto found = std::ranges::find(idle, c);
+      if (error || found == idle.end()) return;  // in use again
+      idle.erase(found);
+      boost::system::error_code ignored;
+      if (c->socket.available(ignored) > 0) write("extra", id);
+      c->socket.close(ignored);
+    });
+  }
+
+  const Day& day_;
+  const std::vector<std::uint16_t>& ports_;
+  Time start_;
+  Recorder& recorder_;
+  std::vector<Ask> asks_;
+  std::size_t at_ = 0;
+  asio::io_context context_{1};
+  std::vector<std::vector<Ptr>> idle_;
+  Timer timer_;
+  LoadReport report_;
+};
+
+}  // namespace
+
+LoadReport play(const Day& day, const std::vector<std::uint16_t>& ports, Time start, Recorder& recorder) {
+  return Clients(day, ports, start, recorder).run();
+}
+
+}  // namespace heronwell::rehearsal
--- /dev/null
+++ b/src/rehearsal/load.hpp
@@ -0,0 +1,21 @@
+// Clients that never wait for answers before sending: each arrival goes out at its moment, on a connection that
+// is free or a new one. How late the generator itself was is recorded.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "rehearsal/plan.hpp"
+#include "rehearsal/record.hpp"
+
+namespace heronwell::rehearsal {
+
+struct LoadReport {
+  std::uint64_t sent = 0, served = 0, refused = 0, failed = 0, other = 0, broken = 0, unconnected = 0, hung_up = 0;
+  Time worst_lateness{};  // of the generator
+};
+
+// Plays the day's arrivals against gateways on 127.0.0.1, from `start` on; returns once each has its end.
+LoadReport play(const Day& day, const std::vector<std::uint16_t>& ports, Time start, Recorder& recorder);
+
+}  // namespace heronwell::rehearsal
--- /dev/null
+++ b/src/rehearsal/plan.cpp
@@ -0,0 +1,190 @@
+#include "rehearsal/plan.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <pcg_random.hpp>
+#include <random>
+
+namespace heronwell::rehearsal {
+namespace {
+
+using namespace std::chrono_literals;
+
+const std::vector<std::string> kKinds{
+    "engine_kill", "engine_hang", "engine_slow", "engine_swallow", "engine_fail", "engine_reset_before",
+    "engine_reset_after", "engine_cut", "engine_turn_away", "engine_drain", "loads_late", "list_late", "list_away",
+    "gateway_stop", "gateway_kill", "burst", "flood", "hot_group", "hang_ups"};
+
+double seconds(Time t) { return std::chrono::duration<double>(t).count(); }
+bool of_engines(TroubleKind kind) { return kind <= TroubleKind::loads_late; }
+bool of_gateways(TroubleKind kind) { return kind == TroubleKind::gateway_stop || kind == TroubleKind::gateway_kill; }
+
+Trouble read_trouble(yaml::Section& section, const Day& day) {
+  Trouble trouble;
+  trouble.kind = static_cast<TroubleKind>(section.choice("kind", kKinds, 0));
+  trouble.at = section.duration("at");
+  trouble.length = section.duration("for");
+  trouble.size = section.number("size", 1, 0, 1e6);
+  trouble.tenant = section.string("tenant", "");
+  const auto most = of_engines(trouble.kind) ? day.engines : of_gateways(trouble.kind) ? day.gateways : 0;
+  for (const auto& text : section.strings("targets")) {
+    const auto number = text.find_first_not_of("0123456789") == std::string::npos && text.size() < 6 ? std::stoul(text) : most;
+    if (number >= most) section.fail("targets", fmt::format("expected numbers under {}", most));
+    trouble.targets.push_back(static_cast<unsigned>(number));
+  }
+  if (most > 0 && trouble.targets.empty()) section.fail("targets", "missing; the engines or gateways it strikes");
+  if (trouble.at + trouble.length > day.length) section.fail("for", "expected an end within the day's length");
+  section.close();
+  return trouble;
+}
+
+ClassLoad read_load(const std::string& name, yaml::Section& section) {
+  ClassLoad load;
+  load.name = name;
+  load.rate = section.number("rate", 0, 1e5);
+  load.work_ms = section.number("work_ms", 10, 0, 1e6);
+  load.io = section.number("io", 0.2, 0, 1);
+  load.memory_mb = section.number("memory_mb", 20, 0, 1e6);
+  load.rows = section.number("rows", 1, 0, 1e8);
+  load.bytes = section.number("bytes", 20, 0, 1e6);
+  load.estimates = section.number("estimates", 0, 0, 3);
+  if (section.has("timeout")) load.timeout = section.duration("timeout");
+  load.keys = section.count("keys", 0, 0, 1'000'000);
+  section.close();
+  return load;
+}
+
+}  // namespace
+
+std::string_view name_of(TroubleKind kind) { return kKinds[static_cast<std::size_t>(kind)]; }
+
+Day read_day(const std::string& path) {
+  auto file = yaml::Section::file(path);
+  Day day;
+  day.file = path;
+  auto head = file.section("day");
+  day.seed = head.count("seed", 1, 0, UINT64_MAX);
+  day.length = head.duration("length");
+  day.tail = head.duration("tail", 5s);
+  head.close();
+  if (day.length < 1s || day.length > 10min) head.fail("length", "expected a duration from 1s to 10min");
+  auto gateways = file.section("gateways");
+  day.gateways = static_cast<unsigned>(gateways.count("count", 1, 1, 64));
+  day.threads = static_cast<unsigned>(gateways.count("threads", 1, 1, 16));
+  gateways.close();
+  auto engines = file.section("engines");
+  day.engines = static_cast<unsigned>(engines.count("count", 1, 1, 256));
+  auto& traits = day.traits;
+  traits.cores = engines.number("cores", 4, 0.1, 1e4);
+  traits.disks = engines.number("disks", 4, 0.1, 1e4);
+  traits.memory_mb = static_cast<double>(engines.size("memory", 4ULL << 30)) / (1 << 20);
+  traits.sessions = engines.count("sessions", 64, 1, 100'000);
+  traits.peak = engines.number("peak", 1.7, 0.1, 100);
+  day.progress = engines.duration("progress", 0s);
+  engines.close();
+
+  auto settings = file.section("router");
+  YAML::Node whole = YAML::LoadFile(path);
+  whole["router"]["gateway"]["of"] = day.gateways;
+  day.router = YAML::Dump(whole["router"]);
+  auto again = yaml::Section::text(day.router, path + " (router)");
+  day.settings = router::read_settings(again);
+  day.names = router::read_names(again);
+  traits.cold_from = day.settings.cold_from;
+  traits.ramp = day.settings.ramp_time;
+  traits.tip_multiple = day.settings.tip_multiple;
+  traits.tip_window = day.settings.tip_window;
+
+  auto clients = file.section("clients");
+  day.groups = static_cast<unsigned>(clients.count("groups", 1, 1, 1'000'000));
+  day.retries = static_cast<unsigned>(clients.count("retries", 0, 0, 10));
+  day.loads.resize(day.settings.classes.size());
+  for (auto& [name, section] : clients.named("classes")) {
+    const auto names = router::class_names(day.settings);
+    const auto at = std::ranges::find(names, name);
+    if (at == names.end()) section.fail("", "expected one of the router's classes");
+    day.loads[static_cast<std::size_t>(at - names.begin())] = read_load(name, section);
+  }
+  auto weights = clients.section("tenants");
+  for (const auto& tenant : day.settings.tenants) day.tenants.push_back(weights.number(tenant.name, tenant.share, 0, 1e6));
+  weights.close();
+  clients.close();
+  for (auto& section : file.sections("troubles")) day.troubles.push_back(read_trouble(section, day));
+  file.close();
+  return day;
+}
+
+std::uint16_t zone_of(const Day& day, unsigned engine) { return static_cast<std::uint16_t>(engine % day.names.zones.size()); }
+std::uint16_t kind_of(const Day& day, unsigned engine) {
+  return static_cast<std::uint16_t>(engine / day.names.zones.size() % day.names.kinds.size());
+}
+
+std::vector<Ask> draw(const Day& day) {
+  std::vector<Ask> asks;
+  for (std::size_t c = 0; c < day.loads.size(); ++c) {
+    const auto& load = day.loads[c];
+    if (load.rate <= 0) continue;
+    pcg64 random(day.seed, c + 1);
+    std::exponential_distribution<double> gap(1);
+    std::lognormal_distribution<double> wide(-0.32, 0.8);  // mean 1
+    std::uniform_real_distribution<double> even(0, 1);
+    double most = 1;  // times the usual rate, at most
+    for (const auto& t : day.troubles)
+      if (t.kind == TroubleKind::burst || t.kind == TroubleKind::flood) most += t.size;
+    for (double at = gap(random) / (load.rate * most); at < seconds(day.length); at += gap(random) / (load.rate * most)) {
+      Ask ask;
+      ask.at = Time(static_cast<std::int64_t>(at * 1e9));
+      double times = 1, hot = 0, leave = 0;
+      std::optional<std::uint32_t> flooding;
+      for (const auto& t : day.troubles) {
+        if (ask.at < t.at || ask.at >= t.at + t.length) continue;
+        if (t.kind == TroubleKind::burst) times += t.size;
+        if (t.kind == TroubleKind::hot_group) hot = t.size;
+        if (t.kind == TroubleKind::hang_ups) leave = t.size;
+        if (t.kind != TroubleKind::flood) continue;
+        if (even(random) < t.size / (times + t.size))
+          for (std::uint32_t n = 0; n < day.settings.tenants.size(); ++n)
+            if (day.settings.tenants[n].name == t.tenant) flooding = n;
+        times += t.size;
+      }
+      if (even(random) * most >= times) continue;  // thinned to the rate of the moment
+      ask.cls = static_cast<ClassIndex>(c);
+      ask.gateway = static_cast<unsigned>(random() % day.gateways);
+      if (!day.tenants.empty())
+        ask.tenant = static_cast<std::uint32_t>(std::discrete_distribution<int>(day.tenants.begin(), day.tenants.end())(random));
+      if (flooding) ask.tenant = *flooding;
+      ask.group = even(random) < hot ? 0 : static_cast<std::uint64_t>(std::pow(even(random), 2) * day.groups);
+      if (load.keys > 0) ask.key = 1 + random() % load.keys;
+      const double size = wide(random);
+      ask.work_ms = load.work_ms * size;
+      ask.memory_mb = load.memory_mb * size;
+      if (load.estimates > 0)
+        ask.estimate_ms = ask.work_ms * std::exp(std::normal_distribution<double>(0, load.estimates)(random));
+      if (even(random) < leave) ask.hang_up = Time(static_cast<std::int64_t>(even(random) * 0.2e9));
+      asks.push_back(ask);
+    }
+  }
+  std::ranges::stable_sort(asks, {}, &Ask::at);
+  for (std::size_t i = 0; i < asks.size(); ++i) asks[i].number = i;
+  return asks;
+}
+
+std::string body_of(const Day& day, const Ask& ask, const std::string& id, bool repeat) {
+  const auto& cls = day.settings.classes[ask.cls];
+  const auto& load = day.loads[ask.cls];
+  auto body = fmt::format(
+      R"({{"statement":"select {} /*hw id={} work_ms={:.3f} threads={} io={} need_mb={:.1f} group={} holds={} waits={} rows={} bytes={}*/","class":"{}","data_group":{})",
+      cls.name, id, ask.work_ms, cls.threads, load.io, ask.memory_mb, ask.group, cls.holds_group ? 1 : 0,
+      cls.waits_for_group ? 1 : 0, load.rows, load.bytes, cls.name, ask.group);
+  if (!day.settings.tenants.empty()) body += fmt::format(R"(,"tenant":"{}")", day.settings.tenants[ask.tenant].name);
+  if (ask.key != 0) body += fmt::format(R"(,"key":{})", ask.key);
+  if (ask.estimate_ms > 0)
+    body += fmt::format(R"(,"estimates":{{"work_ms":{:.2f},"memory_mb":{:.1f}}})", ask.estimate_ms, ask.memory_mb);
+  if (repeat) body += R"(,"repeat":true)";
+  return body + "}";
+}
+
+}  // namespace heronwell::rehearsal
--- /dev/null
+++ b/src/rehearsal/plan.hpp
@@ -0,0 +1,80 @@
+// A day as its YAML file has it: what runs, what clients ask, what goes wrong; and the list of arrivals drawn
+// from it. The same file gives the same arrivals.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/yaml.hpp"
+#include "rehearsal/model.hpp"
+#include "router/settings.hpp"
+
+namespace heronwell::rehearsal {
+
+struct ClassLoad {
+  std::string name;
+  double rate = 0;          // a second, over all gateways
+  double work_ms = 10;      // mean, of all threads
+  double io = 0.2;
+  double memory_mb = 20;
+  double rows = 1;
+  double bytes = 20;        // a row
+  double estimates = 0;     // 0: none given; else by how much they scatter (a log-normal's sigma)
+  std::optional<Time> timeout;  // sent with each request; none: the class's give-up time holds
+  std::uint64_t keys = 0;   // order keys; 0: none
+};
+
+enum class TroubleKind {
+  engine_kill, engine_hang, engine_slow, engine_swallow, engine_fail, engine_reset_before, engine_reset_after,
+  engine_cut, engine_turn_away, engine_drain, loads_late, list_late, list_away, gateway_stop, gateway_kill, burst,
+  flood, hot_group, hang_ups
+};
+std::string_view name_of(TroubleKind kind);
+
+struct Trouble {
+  TroubleKind kind = TroubleKind::burst;
+  Time at{}, length{};
+  std::vector<unsigned> targets;  // engines or gateways
+  double size = 1;                // factor, chance, or as the kind has it
+  std::string tenant;
+};
+
+struct Day {
+  std::string file;
+  std::uint64_t seed = 1;
+  Time length{}, tail{};
+  unsigned gateways = 1, engines = 1, threads = 1;
+  Traits traits;
+  std::string router;  // YAML of the router's settings
+  Settings settings;   // as read from it
+  router::Names names;
+  std::vector<ClassLoad> loads;  // by class
+  std::vector<double> tenants;   // weights
+  unsigned groups = 1, retries = 0;
+  Time progress{};
+  std::vector<Trouble> troubles;
+};
+
+Day read_day(const std::string& path);  // throws yaml::Error
+// Zone and kind of engine i: dealt out in turn.
+std::uint16_t zone_of(const Day& day, unsigned engine);
+std::uint16_t kind_of(const Day& day, unsigned engine);
+
+struct Ask {
+  Time at{};  // from the start
+  std::uint64_t number = 0;
+  unsigned gateway = 0;
+  ClassIndex cls = 0;
+  std::uint32_t tenant = 0;
+  std::uint64_t group = 0, key = 0;
+  double work_ms = 0, memory_mb = 0;
+  double estimate_ms = 0;        // 0: none
+  std::optional<Time> hang_up;   // after sending
+};
+std::vector<Ask> draw(const Day& day);
+// The statement and the JSON body of a request.
+std::string body_of(const Day& day, const Ask& ask, const std::string& id, bool repeat);
+
+}  // namespace heronwell::rehearsal
--- /dev/null
+++ b/src/rehearsal/process.hpp
@@ -0,0 +1,37 @@
+// Processes of a day: started, spoken to, stopped, continued and killed by number; none outlives its owner.
+#pragma once
+
+#include <sys/types.h>
+
+#include <string>
+#include <vector>
+
+#include "base/time.hpp"
+
+namespace heronwell::rehearsal {
+
+class Process {
+ public:
+  Process() = default;
+  // Starts a program; its standard error goes to `log` (appended). Throws std::system_error.
+  Process(const std::vector<std::string>& arguments, const std::string& log);
+  ~Process();  // kills it if it still runs
+  Process(Process&& other) noexcept;
+  Process& operator=(Process&& other) noexcept;
+
+  // The next line of its standard output; throws std::runtime_error at its end or after `longest`.
+  std::string line(Time longest);
+  void say(const std::string& line);  // to its standard input
+  void signal(int number);
+  int wait();                        // its exit code; 128 + signal if killed
+  bool wait(Time longest);           // false: it still runs
+  [[nodiscard]] pid_t id() const { return pid_; }
+
+ private:
+  void drop();
+  pid_t pid_ = -1;
+  int in_ = -1, out_ = -1, code_ = -1;
+  std::string buffer_;
+};
+
+}  // namespace heronwell::rehearsal
