--- a/src/daemon/server.cpp
+++ b/src/daemon/server.cpp
@@ -71,6 +71,7 @@
   }
 
   void stop(Time longest) {
+    if (std::exchange(stopping, true)) return;
     boost::system::error_code ignored;
     acceptor->close(ignored);
     for (auto& shard : shards) asio::post(shard->context(), [&shard] { shard->stop_serving(); });
@@ -95,6 +96,7 @@
   std::unique_ptr<Acceptor> acceptor;
   std::unique_ptr<Timer> retry;
   std::size_t next = 0;
+  bool stopping = false;
 };
 
 Server::Server(Config config) {
@@ -105,6 +107,10 @@
 
 std::uint16_t Server::port() const { return parts_->acceptor->local_endpoint().port(); }
 
+void Server::stop(Time longest) {
+  asio::post(parts_->shards.front()->context(), [this, longest] { parts_->stop(longest); });
+}
+
 void Server::run(const std::function<void()>& ready, Time longest) {
   auto& parts = *parts_;
   auto& first = parts.shards.front()->context();
--- a/src/daemon/server.hpp
+++ b/src/daemon/server.hpp
@@ -18,6 +18,7 @@
   // Serves until SIGINT or SIGTERM; then takes nothing new, and ends once all taken requests are answered, or
   // after `longest`. `ready` is called once queries can be answered.
   void run(const std::function<void()>& ready, Time longest);
+  void stop(Time longest);  // from any thread: as a signal does
 
  private:
   struct Parts;
--- a/src/rehearsal/engine.cpp
+++ b/src/rehearsal/engine.cpp
@@ -197,7 +197,12 @@
     sql::put_parameter(out, "client_encoding", "UTF8");
     sql::put_key(out, c->process, c->secret);
     sql::put_ready(out);
-    c->send(std::move(out), [] {});
+    if (faults.slow_start <= Time::zero()) return c->send(std::move(out), [] {});
+    auto wait = std::make_shared<Timer>(context.get_executor());
+    wait->expires_after(faults.slow_start);
+    wait->async_wait([c, wait, out = std::move(out)](boost::system::error_code) {
+      if (!c->closed) c->send(out, [] {});
+    });
   }
 
   void cancel(const Ptr& c, const sql::Startup& startup) {
@@ -447,8 +452,11 @@
       {"fail", &EngineFaults::fail},         {"reset_before", &EngineFaults::reset_before},
       {"reset_after", &EngineFaults::reset_after}, {"turn_away", &EngineFaults::turn_away},
       {"cut", &EngineFaults::cut}};
+  const Time ms(static_cast<std::int64_t>(value * 1e6));
   if (what == "late_loads_ms") {
-    faults.late_loads = Time(static_cast<std::int64_t>(value * 1e6));
+    faults.late_loads = ms;
+  } else if (what == "slow_start_ms") {
+    faults.slow_start = ms;
   } else if (const auto found = known.find(what); found != known.end()) {
     faults.*found->second = value;
   } else {
--- a/src/rehearsal/engine.hpp
+++ b/src/rehearsal/engine.hpp
@@ -29,6 +29,7 @@
   double turn_away = 0;     // answers 53300, never began
   double cut = 0;           // closes between the last row and the end of the answer
   Time late_loads{};        // loads told are so old
+  Time slow_start{};        // the start-up is answered so late
 };
 
 struct EngineOptions {
--- a/src/rehearsal/load.cpp
+++ b/src/rehearsal/load.cpp
@@ -65,8 +65,13 @@
   }
 
   void spawn(const Ask& ask, unsigned retry) {
+    ++open_;
     asio::co_spawn(
-        context_.get_executor(), [this, &ask, retry] { return request(ask, retry); }, asio::detached);
+        context_.get_executor(), [this, &ask, retry] { return request(ask, retry); },
+        [this](const std::exception_ptr& failed) {
+          if (failed) std::rethrow_exception(failed);
+          if (--open_ == 0 && at_ == asks_.size()) context_.stop();  // idle connections are let go
+        });
   }
 
   void write(std::string_view event, const std::string& id, const std::string& more = "") {
@@ -185,7 +190,7 @@
   Time start_;
   Recorder& recorder_;
   std::vector<Ask> asks_;
-  std::size_t at_ = 0;
+  std::size_t at_ = 0, open_ = 0;
   asio::io_context context_{1};
   std::vector<std::vector<Ptr>> idle_;
   Timer timer_;
--- /dev/null
+++ b/tests/router/config_test.cpp
@@ -0,0 +1,199 @@
+#include "daemon/config.hpp"
+
+#include <gtest/gtest.h>
+
+#include "daemon/peers.hpp"
+#include "fleet/list.hpp"
+
+namespace heronwell::daemon {
+namespace {
+
+using namespace std::chrono_literals;
+
+const std::string kBase = R"(listen: {port: 8080}
+list: {file: engines.yaml}
+kinds: {small: {cores: 4}}
+classes:
+  lookup: {aim: 500ms, give_up: 5s}
+)";
+
+std::string error_of(const std::string& text) {
+  try {
+    read_config(yaml::Section::text(text, "f.yaml"));
+  } catch (const yaml::Error& error) {
+    return error.what();
+  }
+  return "";
+}
+
+TEST(Config, IsReadWithUnitsAndDefaults) {
+  const auto c = read_config(yaml::Section::text(kBase, "f.yaml"));
+  EXPECT_EQ(c.module.classes[0].give_up, Time(5s));
+  EXPECT_EQ(c.listen.limits.body, 1U << 20);
+  EXPECT_EQ(c.name, "gateway-0");
+}
+
+TEST(Config, ErrorsNamePlaceFieldAndWhatWasExpected) {
+  EXPECT_EQ(error_of(kBase + "lisen: {}\n"), "f.yaml:6:8: lisen: unknown key; the nearest known one is \"listen\"");
+  EXPECT_EQ(error_of(kBase + "rules: {drain_grace: 500}\n"),
+            "f.yaml:6:22: rules.drain_grace: expected a duration with its unit, such as 800ms, not \"500\"");
+  EXPECT_EQ(error_of(kBase + "rules: {drain_grace: 64MiB}\n"),
+            "f.yaml:6:22: rules.drain_grace: expected a duration with its unit, such as 800ms, not \"64MiB\"");
+  EXPECT_EQ(error_of(kBase + "gateway: {number: 3, of: 2}\n"), "f.yaml:6:19: gateway.number: expected a number under gateway.of");
+  EXPECT_EQ(error_of(kBase + "rules: {max_attempts: many}\n"),
+            "f.yaml:6:23: rules.max_attempts: expected a whole number, not \"many\"");
+  EXPECT_EQ(error_of(kBase + "allow: {tell: true}\ngateway: {of: 2}\n"), "f.yaml:1:1: peers.port: missing; allow.tell needs it");
+  EXPECT_EQ(error_of(kBase + "zones: [a, b]\ngateway: {zone: c}\n"), "f.yaml:7:17: gateway.zone: expected one of the zones");
+  EXPECT_EQ(error_of(kBase + "loads: {fields: [cpu]}\n"),
+            "f.yaml:6:17: loads.fields: expected names among inflight, queue, util, latency_ms, served, failed, memory_share, disk_share, not \"cpu\"");
+  EXPECT_EQ(error_of("listen: [\n").substr(0, 8), "f.yaml:2");
+  EXPECT_EQ(error_of("listen: {port: 1}\nlist: {file: a}\nkinds: {s: {cores: 1}}\nclasses:\n  a: {aim: 2s, give_up: 1s}\n"),
+            "f.yaml:5:25: classes.a.give_up: expected at least the aim");
+}
+
+TEST(Config, EffectiveSettingsReadToTheSame) {
+  const std::string text = kBase + R"(  load: {aim: 2s, give_up: 20s, effect: unsafe, zones: [b], kinds: [small], threads: 2}
+zones: [a, b]
+tenants: {blue: {share: 0.5, quota_per_s: 10}}
+gateway: {of: 3, number: 1, zone: b, seed: 4}
+rules: {retry_budget: {span: 5s}, tip_multiple: 3}
+allow: {tell: true}
+peers: {port: 99, key_file: k, members: [{number: 0, port: 98}]}
+engines: {never_began: ["53300"]}
+)";
+  const auto once = effective(read_config(yaml::Section::text(text, "f.yaml")));
+  EXPECT_EQ(effective(read_config(yaml::Section::text(once, "again"))), once);
+  EXPECT_NE(once.find("zones: [\"b\"]"), std::string::npos);
+}
+
+TEST(Units, AreNeverGuessed) {
+  EXPECT_EQ(yaml::parse_duration("1.5s"), Time(1500ms));
+  for (const auto* text : {"", "5", "s", "5 s", "-5s", "5sec", "nans", "1e300h", "infs"}) EXPECT_FALSE(yaml::parse_duration(text)) << text;
+  EXPECT_EQ(yaml::parse_size("2KiB"), 2048U);
+  EXPECT_FALSE(yaml::parse_size("2KB"));
+  EXPECT_EQ(yaml::duration_text(90s), "90s");
+  EXPECT_EQ(yaml::duration_text(2h), "2h");
+}
+
+// ---- other gateways' messages ---------------------------------------------------------------------------
+const std::string kKey = "0123456789abcdef0123456789abcdef";
+
+TEST(Peers, TakeAMessageOnce) {
+  PeerCodec a(kKey, 0, 10), b(kKey + "\n", 1, 10);
+  const auto first = a.seal("hello"), second = a.seal("again"), third = a.seal("more");
+  EXPECT_EQ(b.open(first).payload, "hello");
+  EXPECT_EQ(b.open(first).fault, PeerFault::replayed);
+  EXPECT_EQ(b.open(third).payload, "more");
+  EXPECT_EQ(b.open(second).payload, "again") << "out of order, but new";
+  EXPECT_EQ(b.open(second).fault, PeerFault::replayed);
+  EXPECT_EQ(a.open(first).fault, PeerFault::own);
+  for (int i = 0; i < 100; ++i) (void)a.seal("");
+  EXPECT_EQ(b.open(a.seal("late")).fault, PeerFault::none);
+  EXPECT_EQ(b.open(third).fault, PeerFault::replayed) << "too old to be told from a replay";
+}
+
+TEST(Peers, DropForgeriesAndEarlierLives) {
+  PeerCodec before(kKey, 0, 10), after(kKey, 0, 11), other("another key, also of thirty-two by", 0, 12), b(kKey, 1, 1);
+  const auto old = before.seal("old");
+  EXPECT_EQ(b.open(other.seal("x")).fault, PeerFault::forged);
+  auto flipped = after.seal("hello");
+  for (std::size_t i = 4; i < flipped.size(); ++i) {
+    flipped[i] = static_cast<char>(flipped[i] ^ 1);
+    EXPECT_EQ(b.open(flipped).fault, PeerFault::forged) << i;
+    flipped[i] = static_cast<char>(flipped[i] ^ 1);
+  }
+  EXPECT_EQ(b.open(flipped).fault, PeerFault::none);
+  EXPECT_EQ(b.open(old).fault, PeerFault::replayed);
+  EXPECT_EQ(b.open("hwp1").fault, PeerFault::malformed);
+  EXPECT_EQ(b.open(after.seal(std::string(257, 'x'))).fault, PeerFault::malformed);
+  EXPECT_THROW(PeerCodec("short", 0, 0), std::invalid_argument);
+}
+
+// ---- the engine list -------------------------------------------------------------------------------------
+fleet::Entry engine(const std::string& name) {
+  fleet::Entry entry;
+  entry.name = name;
+  entry.host = "127.0.0.1";
+  entry.port = 5432;
+  entry.zone = "a";
+  entry.kind = "small";
+  return entry;
+}
+
+TEST(Fleet, KeepsNumbersAcrossListsAndToldTimes) {
+  fleet::Book book({"a"}, {"small"}, 0s);
+  auto change = book.take({engine("x"), engine("y")}, 1s);
+  ASSERT_EQ(change.listing.engines.size(), 2U);
+  EXPECT_TRUE(change.changed);
+  const auto id = change.listing.engines[0].engine;
+  EXPECT_EQ(id, fleet::Book::number("x"));
+  EXPECT_FALSE(book.take({engine("x"), engine("y")}, 2s).changed);
+  auto drained = engine("x");
+  drained.state = EngineState::draining;
+  book.take({drained, engine("y")}, 3s);
+  EXPECT_EQ(book.find(id)->told_unfit, Time(3s));
+  book.take({engine("y")}, 4s);
+  EXPECT_EQ(book.find(id)->told_unfit, Time(3s)) << "gone, but told at first when it drained";
+  EXPECT_EQ(book.find(id)->entry.state, EngineState::gone);
+  book.take({engine("x")}, 5s);
+  EXPECT_FALSE(book.find(id)->told_unfit);
+}
+
+TEST(Fleet, RefusesWhatItCantTellApart) {
+  // Two names whose numbers are the same, found by trying.
+  std::map<EngineId, std::string> seen;
+  std::string a, b;
+  for (int i = 0; a.empty(); ++i) {
+    const auto name = "engine-" + std::to_string(i);
+    const auto [at, fresh] = seen.emplace(fleet::Book::number(name), name);
+    if (!fresh) a = at->second, b = name;
+  }
+  fleet::Book book({"a"}, {"small"}, 0s);
+  const auto change = book.take({engine(a), engine(b), engine("z"), engine("z")}, 1s);
+  EXPECT_EQ(change.listing.engines.size(), 2U);
+  ASSERT_EQ(change.refused.size(), 2U);
+  EXPECT_EQ(change.refused[0], b + ": has the number of " + a);
+  EXPECT_EQ(change.refused[1], "z: is listed twice");
+  auto far = engine("w");
+  far.zone = "moon";
+  EXPECT_EQ(book.take({far}, 2s).refused[0], "w: zone \"moon\" is not configured");
+}
+
+TEST(Fleet, StartsAreMomentsOfTheModulesClock) {
+  fleet::Book book({"a"}, {"small"}, 1000s);
+  auto started = engine("x");
+  started.started_ms = 1'005'000;
+  EXPECT_EQ(book.take({started}, 10s).listing.engines[0].last_start, Time(5s));
+  started.started_ms = 1;  // before the clock began
+  EXPECT_EQ(book.take({started}, 10s).listing.engines[0].last_start, Time(0));
+}
+
+TEST(Fleet, ReadsWhatConsulSays) {
+  auto draining = engine("x"), gone = engine("y");
+  draining.state = EngineState::draining;
+  draining.cell = 3;
+  draining.started_ms = 77;
+  gone.state = EngineState::gone;
+  EXPECT_EQ(fleet::read_consul(fleet::write_consul({draining, gone, engine("z")}, "sql")),
+            (std::vector<fleet::Entry>{draining, gone, engine("z")}));
+  const auto read = fleet::read_consul(
+      R"([{"Node":{"Node":"n","Address":"10.0.0.1"},"Service":{"ID":"e","Address":"","Port":5432,"Meta":null},
+          "Checks":[{"CheckID":"_node_maintenance","Status":"critical"},{"CheckID":"x","Status":"warning"}]}])");
+  EXPECT_EQ(read[0].host, "10.0.0.1");
+  EXPECT_EQ(read[0].state, EngineState::draining);
+  for (const auto* bad : {"{}", "[{}]", "[{\"Service\":{\"ID\":\"a\",\"Address\":\"b\",\"Port\":0}}]", "[{\"Service\":{\"Port\":1}}]", "nonsense"})
+    EXPECT_THROW(fleet::read_consul(bad), std::invalid_argument) << bad;
+}
+
+TEST(Fleet, FilesNameTheirMistakes) {
+  EXPECT_EQ(fleet::read_yaml("engines:\n  - {name: a, port: 5, state: draining}\n", "l.yaml")[0].state, EngineState::draining);
+  try {
+    fleet::read_yaml("engines:\n  - {name: a, port: 5, sate: ready}\n", "l.yaml");
+    FAIL();
+  } catch (const yaml::Error& error) {
+    EXPECT_STREQ(error.what(), "l.yaml:2:30: engines[0].sate: unknown key; the nearest known one is \"state\"");
+  }
+}
+
+}  // namespace
+}  // namespace heronwell::daemon
