--- a/tests/router/config_test.cpp
+++ b/tests/router/config_test.cpp
@@ -34,25 +34,33 @@
 }
 
 TEST(Config, ErrorsNamePlaceFieldAndWhatWasExpected) {
-  EXPECT_EQ(error_of(kBase + "lisen: {}\n"), "f.yaml:6:8: lisen: unknown key; the nearest known one is \"listen\"");
+  EXPECT_EQ(error_of(kBase + "lisen: {}\n"),
+            "f.yaml:6:8: lisen: unknown key; the nearest known one is \"listen\"");
   EXPECT_EQ(error_of(kBase + "rules: {drain_grace: 500}\n"),
             "f.yaml:6:22: rules.drain_grace: expected a duration with its unit, such as 800ms, not \"500\"");
-  EXPECT_EQ(error_of(kBase + "rules: {drain_grace: 64MiB}\n"),
-            "f.yaml:6:22: rules.drain_grace: expected a duration with its unit, such as 800ms, not \"64MiB\"");
-  EXPECT_EQ(error_of(kBase + "gateway: {number: 3, of: 2}\n"), "f.yaml:6:19: gateway.number: expected a number under gateway.of");
+  EXPECT_EQ(
+      error_of(kBase + "rules: {drain_grace: 64MiB}\n"),
+      "f.yaml:6:22: rules.drain_grace: expected a duration with its unit, such as 800ms, not \"64MiB\"");
+  EXPECT_EQ(error_of(kBase + "gateway: {number: 3, of: 2}\n"),
+            "f.yaml:6:19: gateway.number: expected a number under gateway.of");
   EXPECT_EQ(error_of(kBase + "rules: {max_attempts: many}\n"),
             "f.yaml:6:23: rules.max_attempts: expected a whole number, not \"many\"");
-  EXPECT_EQ(error_of(kBase + "allow: {tell: true}\ngateway: {of: 2}\n"), "f.yaml:1:1: peers.port: missing; allow.tell needs it");
-  EXPECT_EQ(error_of(kBase + "zones: [a, b]\ngateway: {zone: c}\n"), "f.yaml:7:17: gateway.zone: expected one of the zones");
+  EXPECT_EQ(error_of(kBase + "allow: {tell: true}\ngateway: {of: 2}\n"),
+            "f.yaml:1:1: peers.port: missing; allow.tell needs it");
+  EXPECT_EQ(error_of(kBase + "zones: [a, b]\ngateway: {zone: c}\n"),
+            "f.yaml:7:17: gateway.zone: expected one of the zones");
   EXPECT_EQ(error_of(kBase + "loads: {fields: [cpu]}\n"),
-            "f.yaml:6:17: loads.fields: expected names among inflight, queue, util, latency_ms, served, failed, memory_share, disk_share, not \"cpu\"");
+            "f.yaml:6:17: loads.fields: expected names among inflight, queue, util, latency_ms, served, "
+            "failed, memory_share, disk_share, not \"cpu\"");
   EXPECT_EQ(error_of("listen: [\n").substr(0, 8), "f.yaml:2");
-  EXPECT_EQ(error_of("listen: {port: 1}\nlist: {file: a}\nkinds: {s: {cores: 1}}\nclasses:\n  a: {aim: 2s, give_up: 1s}\n"),
+  EXPECT_EQ(error_of("listen: {port: 1}\nlist: {file: a}\nkinds: {s: {cores: 1}}\nclasses:\n  a: {aim: 2s, "
+                     "give_up: 1s}\n"),
             "f.yaml:5:25: classes.a.give_up: expected at least the aim");
 }
 
 TEST(Config, EffectiveSettingsReadToTheSame) {
-  const std::string text = kBase + R"(  load: {aim: 2s, give_up: 20s, effect: unsafe, zones: [b], kinds: [small], threads: 2}
+  const std::string text =
+      kBase + R"(  load: {aim: 2s, give_up: 20s, effect: unsafe, zones: [b], kinds: [small], threads: 2}
 zones: [a, b]
 tenants: {blue: {share: 0.5, quota_per_s: 10}}
 gateway: {of: 3, number: 1, zone: b, seed: 4}
@@ -68,7 +76,8 @@
 
 TEST(Units, AreNeverGuessed) {
   EXPECT_EQ(yaml::parse_duration("1.5s"), Time(1500ms));
-  for (const auto* text : {"", "5", "s", "5 s", "-5s", "5sec", "nans", "1e300h", "infs"}) EXPECT_FALSE(yaml::parse_duration(text)) << text;
+  for (const auto* text : {"", "5", "s", "5 s", "-5s", "5sec", "nans", "1e300h", "infs"})
+    EXPECT_FALSE(yaml::parse_duration(text)) << text;
   EXPECT_EQ(yaml::parse_size("2KiB"), 2048U);
   EXPECT_FALSE(yaml::parse_size("2KB"));
   EXPECT_EQ(yaml::duration_text(90s), "90s");
@@ -93,7 +102,8 @@
 }
 
 TEST(Peers, DropForgeriesAndEarlierLives) {
-  PeerCodec before(kKey, 0, 10), after(kKey, 0, 11), other("another key, also of thirty-two by", 0, 12), b(kKey, 1, 1);
+  PeerCodec before(kKey, 0, 10), after(kKey, 0, 11), other("another key, also of thirty-two by", 0, 12),
+      b(kKey, 1, 1);
   const auto old = before.seal("old");
   EXPECT_EQ(b.open(other.seal("x")).fault, PeerFault::forged);
   auto flipped = after.seal("hello");
@@ -181,17 +191,20 @@
           "Checks":[{"CheckID":"_node_maintenance","Status":"critical"},{"CheckID":"x","Status":"warning"}]}])");
   EXPECT_EQ(read[0].host, "10.0.0.1");
   EXPECT_EQ(read[0].state, EngineState::draining);
-  for (const auto* bad : {"{}", "[{}]", "[{\"Service\":{\"ID\":\"a\",\"Address\":\"b\",\"Port\":0}}]", "[{\"Service\":{\"Port\":1}}]", "nonsense"})
+  for (const auto* bad : {"{}", "[{}]", "[{\"Service\":{\"ID\":\"a\",\"Address\":\"b\",\"Port\":0}}]",
+                          "[{\"Service\":{\"Port\":1}}]", "nonsense"})
     EXPECT_THROW(fleet::read_consul(bad), std::invalid_argument) << bad;
 }
 
 TEST(Fleet, FilesNameTheirMistakes) {
-  EXPECT_EQ(fleet::read_yaml("engines:\n  - {name: a, port: 5, state: draining}\n", "l.yaml")[0].state, EngineState::draining);
+  EXPECT_EQ(fleet::read_yaml("engines:\n  - {name: a, port: 5, state: draining}\n", "l.yaml")[0].state,
+            EngineState::draining);
   try {
     fleet::read_yaml("engines:\n  - {name: a, port: 5, sate: ready}\n", "l.yaml");
     FAIL();
   } catch (const yaml::Error& error) {
-    EXPECT_STREQ(error.what(), "l.yaml:2:30: engines[0].sate: unknown key; the nearest known one is \"state\"");
+    EXPECT_STREQ(error.what(),
+                 "l.yaml:2:30: engines[0].sate: unknown key; the nearest known one is \"state\"");
   }
 }
 
--- a/tests/router/front_test.cpp
+++ b/tests/router/front_test.cpp
@@ -11,7 +11,8 @@
 
 Settings settings() {
   Settings s;
-  s.classes = {{.name = "lookup", .aim = 500ms, .give_up = 2s}, {.name = "report", .aim = 3s, .give_up = 20s}};
+  s.classes = {{.name = "lookup", .aim = 500ms, .give_up = 2s},
+               {.name = "report", .aim = 3s, .give_up = 20s}};
   s.tenants = {{.name = "blue"}, {.name = "red"}};
   return s;
 }
@@ -23,9 +24,11 @@
 }
 
 TEST(Front, ReadsEveryField) {
-  const auto read = Front(settings()).read(
-      R"({"statement":"select 1","class":"report","tenant":"red","data_group":"floor 7","key":5,"estimates":{"work_ms":12.5,"memory_mb":3},"repeat":true})",
-      "700");
+  const auto read =
+      Front(settings())
+          .read(
+              R"({"statement":"select 1","class":"report","tenant":"red","data_group":"floor 7","key":5,"estimates":{"work_ms":12.5,"memory_mb":3},"repeat":true})",
+              "700");
   const auto* query = std::get_if<Query>(&read);
   ASSERT_NE(query, nullptr);
   const auto& asked = query->ask.asked;
@@ -44,18 +47,25 @@
   EXPECT_EQ(field_of("[]"), ": expected a JSON object");
   EXPECT_EQ(field_of(R"({"class":"lookup"})"), "statement: missing");
   EXPECT_EQ(field_of(R"({"statement":"s"})"), "class: missing");
-  EXPECT_EQ(field_of(R"({"statement":"s","class":"lookp"})"), "class: unknown; the nearest known one is \"lookup\"");
-  EXPECT_EQ(field_of(R"({"statement":"s","clas":"lookup"})"), "clas: unknown; the nearest known one is \"class\"");
+  EXPECT_EQ(field_of(R"({"statement":"s","class":"lookp"})"),
+            "class: unknown; the nearest known one is \"lookup\"");
+  EXPECT_EQ(field_of(R"({"statement":"s","clas":"lookup"})"),
+            "clas: unknown; the nearest known one is \"class\"");
   EXPECT_EQ(field_of(R"({"statement":7,"class":"lookup"})"), "statement: expected a text that is not empty");
-  EXPECT_EQ(field_of(R"({"statement":"a\u0000b","class":"lookup"})"), "statement: expected a text without NUL");
-  EXPECT_EQ(field_of(R"({"statement":"s","class":"lookup","tenant":"green"})"), "tenant: expected one of blue, red");
-  EXPECT_EQ(field_of(R"({"statement":"s","class":"lookup","key":1.5})"), "key: expected a text or a whole number");
+  EXPECT_EQ(field_of(R"({"statement":"a\u0000b","class":"lookup"})"),
+            "statement: expected a text without NUL");
+  EXPECT_EQ(field_of(R"({"statement":"s","class":"lookup","tenant":"green"})"),
+            "tenant: expected one of blue, red");
+  EXPECT_EQ(field_of(R"({"statement":"s","class":"lookup","key":1.5})"),
+            "key: expected a text or a whole number");
   EXPECT_EQ(field_of(R"({"statement":"s","class":"lookup","estimates":{"work_ms":-1}})"),
             "estimates.work_ms: expected a number from 0 to 3600000");
-  EXPECT_EQ(field_of(R"({"statement":"s","class":"lookup","estimates":{"w":1}})"), "estimates.w: unknown field");
+  EXPECT_EQ(field_of(R"({"statement":"s","class":"lookup","estimates":{"w":1}})"),
+            "estimates.w: unknown field");
   EXPECT_EQ(field_of(R"({"statement":"s","class":"lookup"})", "soon"),
             "heronwell-timeout-ms: expected a whole number of milliseconds from 1");
-  EXPECT_EQ(field_of(R"({"statement":"s","class":"lookup"})", "0"), field_of(R"({"statement":"s","class":"lookup"})", "-5"));
+  EXPECT_EQ(field_of(R"({"statement":"s","class":"lookup"})", "0"),
+            field_of(R"({"statement":"s","class":"lookup"})", "-5"));
   EXPECT_EQ(field_of(R"({"statement":"s","class":"lookup"})", "99999"), "");
   EXPECT_NE(field_of("{\"statement\":\"\xff\",\"class\":\"lookup\"}"), "");
   EXPECT_NE(field_of(std::string(100'000, '[')), "") << "deep nesting is an error, not a crash";
@@ -65,8 +75,9 @@
   Answer answer;
   answer.ending = Ending::refused;
   answer.pause = 1500ms;
-  EXPECT_EQ(problem_body(problem_of(answer)),
-            R"({"type":"about:blank","status":503,"outcome":"refused","retry_harmless":true,"retry_after_ms":1500,"detail":"not run; the engines are busy or out of reach"})");
+  EXPECT_EQ(
+      problem_body(problem_of(answer)),
+      R"({"type":"about:blank","status":503,"outcome":"refused","retry_harmless":true,"retry_after_ms":1500,"detail":"not run; the engines are busy or out of reach"})");
   EXPECT_EQ(retry_after_seconds(1500ms), 2);
   answer.ending = Ending::failed;
   answer.last = Result::reset;
@@ -77,7 +88,8 @@
   EXPECT_EQ(problem_of(answer).status, 504);
 }
 
-std::string rows(const std::vector<sql::Column>& columns, const std::vector<std::vector<sql::Value>>& values) {
+std::string rows(const std::vector<sql::Column>& columns,
+                 const std::vector<std::vector<sql::Value>>& values) {
   std::string out;
   JsonRows json;
   json.columns(out, columns);
@@ -92,15 +104,20 @@
 }
 
 TEST(Rows, BecomeJsonByTheirTypes) {
-  EXPECT_EQ(rows({{"a", 20}, {"b", 16}, {"c", 25}, {"d", 701}}, {{"9007199254740993", "t", "x\"\n\x01", "NaN"}, {std::nullopt, "f", "", "-1.5e3"}}),
-            R"({"columns":["a","b","c","d"],"rows":[[9007199254740993,true,"x\"\n\u0001","NaN"],[null,false,"",-1.5e3]],"command":"SELECT"})");
-  EXPECT_EQ(rows({{"a", 23}}, {{"01"}, {"+1"}, {""}, {"1."}}), R"({"columns":["a"],"rows":[["01"],["+1"],[""],["1."]],"command":"SELECT"})");
+  EXPECT_EQ(
+      rows({{"a", 20}, {"b", 16}, {"c", 25}, {"d", 701}},
+           {{"9007199254740993", "t", "x\"\n\x01", "NaN"}, {std::nullopt, "f", "", "-1.5e3"}}),
+      R"({"columns":["a","b","c","d"],"rows":[[9007199254740993,true,"x\"\n\u0001","NaN"],[null,false,"",-1.5e3]],"command":"SELECT"})");
+  EXPECT_EQ(rows({{"a", 23}}, {{"01"}, {"+1"}, {""}, {"1."}}),
+            R"({"columns":["a"],"rows":[["01"],["+1"],[""],["1."]],"command":"SELECT"})");
 }
 
 TEST(Rows, ThatAreNoUtf8StayJson) {
   std::string out;
   put_json_text(out, "a\xff\xc3\xa4\xc0\x80\xed\xa0\x80\xf0\x9f\x98\x80\xe2\x82");
-  EXPECT_EQ(out, "\"a\xef\xbf\xbd\xc3\xa4\xef\xbf\xbd\xef\xbf\xbd\xef\xbf\xbd\xef\xbf\xbd\xef\xbf\xbd\xf0\x9f\x98\x80\xef\xbf\xbd\xef\xbf\xbd\"");
+  EXPECT_EQ(out,
+            "\"a\xef\xbf\xbd\xc3\xa4\xef\xbf\xbd\xef\xbf\xbd\xef\xbf\xbd\xef\xbf\xbd\xef\xbf\xbd\xf0\x9f\x98"
+            "\x80\xef\xbf\xbd\xef\xbf\xbd\"");
 }
 
 TEST(Rows, OfSeveralResultsStandUnderMore) {
@@ -111,7 +128,9 @@
   json.complete(out, "SELECT 0");
   json.complete(out, "DELETE 1");
   json.finish(out);
-  EXPECT_EQ(out, R"({"columns":[],"rows":[],"command":"SET","more":[{"columns":["a"],"rows":[],"command":"SELECT 0"},{"columns":[],"rows":[],"command":"DELETE 1"}]})");
+  EXPECT_EQ(
+      out,
+      R"({"columns":[],"rows":[],"command":"SET","more":[{"columns":["a"],"rows":[],"command":"SELECT 0"},{"columns":[],"rows":[],"command":"DELETE 1"}]})");
 }
 
 }  // namespace
