--- /dev/null
+++ b/benchmarks/router_bench.cpp
@@ -0,0 +1,318 @@
+// Through the router against straight to the same stand-in engines, in one run: requests a second, latency at
+// a steady pace (measured from the moment each was due, so that waiting counts), CPU and allocations a
+// request of the router's thread, memory of an idle connection and of a long run. Prints a table;
+// docs/performance.md quotes it.
+//
+//   heronwell_router_bench PROGRAM [pace a second] [seconds] [requests of the long run]
+#include <fmt/format.h>
+#include <pthread.h>
+#include <spdlog/spdlog.h>
+#include <sys/resource.h>
+
+#include <algorithm>
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <cstdlib>
+#include <deque>
+#include <filesystem>
+#include <fstream>
+#include <future>
+#include <new>
+#include <thread>
+
+#include "daemon/server.hpp"
+#include "http/message.hpp"
+#include "rehearsal/process.hpp"
+#include "sql/protocol.hpp"
+
+namespace {
+thread_local std::uint64_t allocations = 0;
+std::atomic<std::uint64_t*> router_allocations = nullptr;
+}  // namespace
+
+void* operator new(std::size_t size) {
+  ++allocations;
+  if (void* memory = std::malloc(size)) return memory;
+  throw std::bad_alloc();
+}
+void operator delete(void* memory) noexcept { std::free(memory); }
+void operator delete(void* memory, std::size_t) noexcept { std::free(memory); }
+
+namespace {
+
+namespace asio = boost::asio;
+using namespace heronwell;
+using namespace std::chrono_literals;
+using Clock = std::chrono::steady_clock;
+constexpr unsigned kEngines = 2, kConnections = 64;
+
+std::string http_request() {
+  std::string out;
+  http::put_request(out, "POST", "/v1/query", "a", R"({"statement":"select 1","class":"lookup"})");
+  return out;
+}
+std::string sql_request() {
+  std::string out;
+  sql::put_query(out, "select 1");
+  return out;
+}
+
+// One connection with at most one request out; the answer is whole at a fixed number of bytes, learned first.
+struct Line {
+  explicit Line(asio::io_context& context) : socket(context) {}
+  asio::ip::tcp::socket socket;
+  std::array<char, 4096> bytes{};
+  std::size_t got = 0;
+  Clock::time_point due;
+};
+
+class Load {
+ public:
+  Load(std::vector<std::uint16_t> ports, bool sql)
+      : sql_(sql), request_(sql ? sql_request() : http_request()) {
+    for (unsigned i = 0; i < kConnections; ++i) {
+      lines_.push_back(std::make_unique<Line>(context_));
+      auto& socket = lines_.back()->socket;
+      socket.connect({asio::ip::make_address("127.0.0.1"), ports[i % ports.size()]});
+      socket.set_option(asio::ip::tcp::no_delay(true));
+      if (sql) greet(socket);
+    }
+    answer_ = once(lines_[0]->socket);
+  }
+
+  // As many as go, for so long; a second.
+  double capacity(Clock::duration length) {
+    until_ = Clock::now() + length;
+    paced_ = false;
+    done_ = 0;
+    for (auto& line : lines_) ask(*line, Clock::now());
+    context_.restart();
+    context_.run();
+    return static_cast<double>(done_) / std::chrono::duration<double>(length).count();
+  }
+  // At a steady pace; latencies in ns, sorted.
+  std::vector<std::int64_t> pace(double a_second, Clock::duration length) {
+    latencies_.clear();
+    latencies_.reserve(
+        static_cast<std::size_t>(a_second * std::chrono::duration<double>(length).count() * 1.1));
+    begin_ = Clock::now() + 10ms;
+    until_ = begin_ + length;
+    gap_ = std::chrono::duration<double>(1 / a_second);
+    sent_ = done_ = 0;
+    paced_ = true;
+    idle_.clear();
+    for (auto& line : lines_) idle_.push_back(line.get());
+    asio::steady_timer timer(context_);
+    tick(timer);
+    context_.restart();
+    context_.run();
+    std::ranges::sort(latencies_);
+    return latencies_;
+  }
+  [[nodiscard]] std::uint64_t done() const { return done_; }
+
+ private:
+  static void greet(asio::ip::tcp::socket& socket) {
+    std::string hello;
+    sql::put_startup(hello, {{"user", "bench"}});
+    asio::write(socket, asio::buffer(hello));
+    std::string in;
+    char chunk[4096];
+    while (true) {
+      in.append(chunk, socket.read_some(asio::buffer(chunk)));
+      if (in.size() > 6 && in.substr(in.size() - 6, 1) == "Z") return;
+    }
+  }
+  std::size_t once(asio::ip::tcp::socket& socket) {
+    asio::write(socket, asio::buffer(request_));
+    char chunk[8192];
+    std::size_t got = socket.read_some(asio::buffer(chunk));
+    std::this_thread::sleep_for(50ms);
+    while (socket.available() > 0) got += socket.read_some(asio::buffer(chunk));
+    return got;
+  }
+  void tick(asio::steady_timer& timer) {
+    const auto now = Clock::now();
+    while (true) {
+      const auto due =
+          begin_ + std::chrono::duration_cast<Clock::duration>(gap_ * static_cast<double>(sent_));
+      if (due >= until_) return;
+      if (due > now) break;
+      ++sent_;
+      if (idle_.empty()) {
+        waiting_.push_back(due);
+        continue;
+      }
+      auto* line = idle_.back();
+      idle_.pop_back();
+      ask(*line, due);
+    }
+    timer.expires_at(std::max(
+        now + 50us, begin_ + std::chrono::duration_cast<Clock::duration>(gap_ * static_cast<double>(sent_))));
+    timer.async_wait([this, &timer](boost::system::error_code) { tick(timer); });
+  }
+  void ask(Line& line, Clock::time_point due) {
+    line.due = due;
+    line.got = 0;
+    asio::write(line.socket, asio::buffer(request_));
+    read(line);
+  }
+  void read(Line& line) {
+    line.socket.async_read_some(asio::buffer(line.bytes),
+                                [this, &line](boost::system::error_code error, std::size_t got) {
+                                  if (error) throw boost::system::system_error(error);
+                                  line.got += got;
+                                  if (line.got < answer_) return read(line);
+                                  ++done_;
+                                  const auto now = Clock::now();
+                                  if (paced_) {
+                                    latencies_.push_back((now - line.due).count());
+                                    if (waiting_.empty()) return idle_.push_back(&line);
+                                    const auto due = waiting_.front();
+                                    waiting_.pop_front();
+                                    return ask(line, due);
+                                  }
+                                  if (now < until_) ask(line, now);
+                                });
+  }
+
+  asio::io_context context_{1};
+  bool sql_, paced_ = false;
+  std::string request_;
+  std::size_t answer_ = 0;
+  std::vector<std::unique_ptr<Line>> lines_;
+  std::vector<Line*> idle_;
+  std::deque<Clock::time_point> waiting_;
+  std::vector<std::int64_t> latencies_;
+  Clock::time_point begin_, until_;
+  std::chrono::duration<double> gap_{};
+  std::uint64_t sent_ = 0, done_ = 0;
+};
+
+double at(const std::vector<std::int64_t>& sorted, double part) {
+  return sorted.empty()
+             ? 0
+             : static_cast<double>(
+                   sorted[static_cast<std::size_t>(part * static_cast<double>(sorted.size() - 1))]) /
+                   1e3;
+}
+
+double thread_cpu(pthread_t thread) {
+  clockid_t clock{};
+  pthread_getcpuclockid(thread, &clock);
+  timespec time{};
+  clock_gettime(clock, &time);
+  return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_nsec) / 1e9;
+}
+
+std::size_t resident(pid_t process) {
+  std::ifstream file(fmt::format("/proc/{}/statm", process));
+  std::size_t all = 0, pages = 0;
+  file >> all >> pages;
+  return pages * 4096;
+}
+
+std::uint16_t port_of(const std::string& line) {
+  return static_cast<std::uint16_t>(std::stoul(line.substr(line.rfind(':') + 1)));
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  if (argc < 2) return fmt::print(stderr, "heronwell_router_bench PROGRAM [pace] [seconds] [long run]\n"), 2;
+  const std::string program = argv[1];
+  const double pace = argc > 2 ? std::stod(argv[2]) : 20'000;
+  const auto length = std::chrono::seconds(argc > 3 ? std::stoul(argv[3]) : 5);
+  const auto longer = argc > 4 ? std::stoull(argv[4]) : 500'000ULL;
+  spdlog::set_level(spdlog::level::off);
+  rlimit limit{};
+  getrlimit(RLIMIT_NOFILE, &limit);
+  limit.rlim_cur = limit.rlim_max;
+  setrlimit(RLIMIT_NOFILE, &limit);
+
+  const auto folder = std::filesystem::temp_directory_path() / fmt::format("heronwell-bench-{}", getpid());
+  std::filesystem::create_directories(folder);
+  std::vector<rehearsal::Process> engines;
+  std::vector<std::uint16_t> ports;
+  std::ofstream list(folder / "list.yaml");
+  list << "engines:\n";
+  for (unsigned i = 0; i < kEngines; ++i) {
+    engines.emplace_back(
+        std::vector<std::string>{program, "engine", "--name", fmt::format("e{}", i), "--sessions", "1000"},
+        "");
+    ports.push_back(port_of(engines.back().line(5s)));
+    list << fmt::format("  - {{name: e{}, port: {}, kind: k}}\n", i, ports.back());
+  }
+  list.close();
+  const auto yaml = fmt::format(
+      "listen: {{port: 0}}\nlist: {{file: {}/list.yaml}}\nkinds: {{k: {{cores: 64}}}}\nclasses: {{lookup: "
+      "{{aim: 500ms, give_up: 5s}}}}\n"
+      "engines: {{connections: 200}}\nlog: {{requests: none, level: \"off\"}}\n",
+      folder.string());
+  std::ofstream(folder / "router.yaml") << yaml;
+
+  daemon::Server server(daemon::read_config(yaml::Section::text(yaml, "bench")));
+  std::promise<void> ready;
+  std::thread router([&] {
+    router_allocations = &allocations;
+    server.run([&] { ready.set_value(); }, 100ms);
+  });
+  ready.get_future().wait();
+
+  fmt::print("{:<34}{:>14}{:>14}\n", "", "through", "straight");
+  Load through({server.port()}, false), straight(ports, true);
+  through.capacity(1s);
+  straight.capacity(1s);  // warm
+  const double c1 = through.capacity(length), c2 = straight.capacity(length);
+  fmt::print("{:<34}{:>14.0f}{:>14.0f}\n", "requests a second at most", c1, c2);
+  const double cpu = thread_cpu(router.native_handle());
+  const auto before = *router_allocations.load();
+  const auto with = through.pace(pace, length);
+  const double used = thread_cpu(router.native_handle()) - cpu;
+  const auto made = *router_allocations.load() - before;
+  const auto without = straight.pace(pace, length);
+  fmt::print("at {:.0f} requests a second\n", pace);
+  for (const auto& [name, part] : {std::pair{"  p50, us", 0.5}, {"  p99, us", 0.99}, {"  p99.9, us", 0.999}})
+    fmt::print("{:<34}{:>14.1f}{:>14.1f}   added {:.1f}\n", name, at(with, part), at(without, part),
+               at(with, part) - at(without, part));
+  fmt::print("{:<34}{:>14.2f}\n", "  router CPU a request, us",
+             used / static_cast<double>(with.size()) * 1e6);
+  fmt::print("{:<34}{:>14.1f}\n", "  allocations a request",
+             static_cast<double>(made) / static_cast<double>(with.size()));
+  server.stop(0s);
+  router.join();
+
+  rehearsal::Process alone({program, "serve", "--config", (folder / "router.yaml").string()}, "");
+  const auto port = port_of(alone.line(5s));
+  std::this_thread::sleep_for(300ms);
+  const auto idle = std::min<std::size_t>(10'000, limit.rlim_cur - 200);
+  {
+    const auto empty = resident(alone.id());
+    asio::io_context context;
+    std::vector<asio::ip::tcp::socket> sockets;
+    for (std::size_t i = 0; i < idle; ++i) {
+      sockets.emplace_back(context);
+      sockets.back().connect({asio::ip::make_address("127.0.0.1"), port});
+    }
+    std::this_thread::sleep_for(500ms);
+    fmt::print("{:<34}{:>14.2f}   of {} connections\n", "KiB an idle connection",
+               static_cast<double>(resident(alone.id()) - empty) / 1024.0 / static_cast<double>(idle), idle);
+  }
+  std::this_thread::sleep_for(500ms);
+  Load long_run({port}, false);
+  std::uint64_t sent = 0;
+  std::size_t first = 0;
+  while (sent < longer) {
+    long_run.capacity(1s);
+    sent += long_run.done();
+    if (first == 0) first = resident(alone.id());
+  }
+  fmt::print("{:<34}{:>14.1f}{:>14.1f}   over {} requests\n", "MiB resident, first and last",
+             static_cast<double>(first) / (1 << 20), static_cast<double>(resident(alone.id())) / (1 << 20),
+             sent);
+  std::filesystem::remove_all(folder);
+  return 0;
+}
