--- /dev/null
+++ b/fuzz/front_fuzz.cpp
@@ -0,0 +1,27 @@
+// The plain front: any bytes are a question or a problem that is itself sound.
+#include <cstdint>
+#include <cstdlib>
+#include <string>
+
+#include "router/front.hpp"
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
+  using namespace heronwell;
+  static const router::Front front([] {
+    Settings s;
+    s.classes.resize(1);
+    s.classes[0].name = "lookup";
+    s.classes[0].give_up = std::chrono::seconds(2);
+    s.tenants = {{"blue", 0, 0}};
+    return s;
+  }());
+  const std::string_view bytes(reinterpret_cast<const char*>(data), size);
+  const auto read = front.read(bytes, size % 3 == 0 ? std::optional(bytes.substr(0, 6)) : std::nullopt);
+  if (const auto* query = std::get_if<router::Query>(&read)) {
+    if (query->statement.empty() || query->ask.asked.time_left <= Time::zero() || query->ask.asked.cls != 0)
+      std::abort();
+  } else if (router::problem_body(std::get<router::Problem>(read)).find('\n') != std::string::npos) {
+    std::abort();
+  }
+  return 0;
+}
--- /dev/null
+++ b/fuzz/list_fuzz.cpp
@@ -0,0 +1,26 @@
+// The engine list, from Consul and from YAML: read or refused with a reason; what is read is written to the
+// same.
+#include <cstdint>
+#include <cstdlib>
+#include <stdexcept>
+#include <string>
+
+#include "base/yaml.hpp"
+#include "fleet/list.hpp"
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
+  using namespace heronwell;
+  const std::string bytes(reinterpret_cast<const char*>(data), size);
+  try {
+    const auto entries = fleet::read_consul(bytes);
+    fleet::Book book({"a", ""}, {"small", ""}, Time::zero());
+    if (book.take(entries, Time(1)).listing.engines.size() > entries.size()) std::abort();
+  } catch (const std::invalid_argument& error) {
+    if (std::string(error.what()).empty()) std::abort();
+  }
+  try {
+    (void)fleet::read_yaml(bytes, "f");
+  } catch (const yaml::Error&) {
+  }
+  return 0;
+}
--- /dev/null
+++ b/fuzz/sql_fuzz.cpp
@@ -0,0 +1,68 @@
+// The PostgreSQL protocol, both sides: no crash, and a session that says the same however the bytes are
+// split.
+#include <cstdint>
+#include <cstdlib>
+#include <string>
+
+#include "router/rows.hpp"
+#include "sql/session.hpp"
+
+namespace {
+
+using namespace heronwell;
+
+struct Log : sql::SessionEvents {
+  void on_columns(const std::vector<sql::Column>& columns) override { rows.columns(text, columns); }
+  void on_row(sql::RowReader row) override { text += rows.row(text, row) ? "+" : "-"; }
+  void on_complete(std::string_view tag) override { rows.complete(text, tag); }
+  void on_error(const sql::ErrorText& error) override {
+    text.append("E").append(error.code).append(error.message);
+  }
+  void on_notice(const sql::ErrorText& notice) override { text.append("N").append(notice.code); }
+  void on_parameter(std::string_view name, std::string_view value) override {
+    text.append(name).append("=").append(value);
+  }
+  void on_statement_end() override { text += "Z"; }
+  std::string text;
+  router::JsonRows rows;
+};
+
+std::string told(std::string_view bytes, std::size_t piece) {
+  Log log;
+  sql::Session session(4096);
+  const bool never = false;
+  std::string rest, sent;
+  for (std::size_t at = 0; at < bytes.size(); at += piece) {
+    rest += bytes.substr(at, piece);
+    while (true) {
+      const auto used = session.feed(rest, log, never);
+      if (used > rest.size() || session.wants() > 4096) std::abort();
+      rest.erase(0, used);
+      // The router asks as soon as it may; the answer stands in the bytes already.
+      if (session.reusable() && !rest.empty())
+        session.query(sent, {{"work_mem", "1MB"}}, "select 1");
+      else
+        break;
+    }
+  }
+  return log.text + std::to_string(static_cast<int>(session.state()));
+}
+
+}  // namespace
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
+  const std::string_view bytes(reinterpret_cast<const char*>(data), size);
+  (void)told(bytes, std::max<std::size_t>(size, 1));
+  (void)told(bytes, 1);
+  const auto startup = sql::next_startup(bytes);
+  if (startup.state == sql::Frame::State::complete) (void)sql::read_startup(startup.message.payload);
+  (void)sql::read_error(bytes);
+  (void)sql::read_columns(bytes);
+  (void)sql::read_parameter(bytes);
+  sql::RowReader row(bytes);
+  sql::Value value;
+  std::size_t values = 0;
+  while (row.next(value)) ++values;
+  if (values > size) std::abort();
+  return 0;
+}
