--- a/src/rehearsal/engine.cpp
+++ b/src/rehearsal/engine.cpp
@@ -256,8 +256,12 @@
     settle(now);
     if (!model.add(now, job)) return turn_away(c);
     ++begun;
-    record("began", fmt::format(R"("id":"{}","gw":"{}","conn":{},"work_ms":{:.3f},"warmth":{:.3f})",
-                                c->request.id, c->gateway, c->process, job.work * 1e3, model.warmth(now)));
+    record(
+        "began",
+        fmt::format(
+            R"("id":"{}","gw":"{}","conn":{},"work_ms":{:.3f},"warmth":{:.3f},"grant_mb":{:.0f},"priority":{})",
+            c->request.id, c->gateway, c->process, job.work * 1e3, model.warmth(now), job.grant_mb,
+            job.priority));
     c->job = job.id;
     jobs[job.id] = c;
     if (model.tipped()) return tip();
@@ -271,8 +275,13 @@
       std::from_chars(statement.data() + quote + 1, statement.data() + statement.size(), value);
     if (statement.starts_with("set work_mem ")) c->grant_mb = value;
     if (statement.starts_with("set heronwell.priority ")) c->priority = static_cast<unsigned>(value);
+    const bool known =
+        statement.starts_with("set work_mem ") || statement.starts_with("set heronwell.priority ");
     std::string out;
-    sql::put_complete(out, "SET");
+    if (known)
+      sql::put_complete(out, "SET");
+    else
+      sql::put_error(out, {"ERROR", "42704", "unrecognized configuration parameter"});
     sql::put_ready(out);
     c->busy = true;
     c->send(std::move(out), [this, c] {
--- a/tests/e2e/rig.hpp
+++ b/tests/e2e/rig.hpp
@@ -115,6 +115,8 @@
     rehearsal::Traits traits;
     unsigned threads = 1;
     Time progress{};
+    unsigned of = 1;              // gateways
+    std::string engine_settings;  // YAML, within engines: {...}
   };
   explicit Rig(Options options) : options_(std::move(options)) {
     spdlog::set_level(spdlog::level::off);
@@ -182,6 +184,10 @@
     }
     return count;
   }
+  [[nodiscard]] std::string records(unsigned engine) const {
+    std::ifstream file(folder_ / fmt::format("engine-{}.jsonl", engine));
+    return {std::istreambuf_iterator<char>(file), {}};
+  }
   // Waits until it was seen so often.
   [[nodiscard]] bool comes(const std::string& event, const std::string& id, unsigned times = 1,
                            std::chrono::milliseconds longest = 3s) const {
@@ -219,7 +225,8 @@
   }
 
   void start_router() {
-    const auto yaml = fmt::format(R"(gateway: {{name: gw, seed: 5, threads: {}}}
+    const auto yaml =
+        fmt::format(R"(gateway: {{name: gw, seed: 5, threads: {}, of: {}}}
 listen: {{port: 0, header_time: 400ms, idle_time: 2s, stall_time: 1s}}
 list: {{consul: [{{port: {}}}], retry_least: 20ms}}
 kinds: {{small: {{cores: 4, memory: 4GiB}}}}
@@ -227,10 +234,10 @@
   lookup: {{aim: 500ms, give_up: 3s}}
   load: {{aim: 2s, give_up: 4s, effect: unsafe}}
 loads: {{fields: [inflight, util], in_answers: true, tells_cost: true, progress_pace: {}}}
-engines: {{never_began: ["53300"], cancel_wait: 200ms}}
+engines: {{never_began: ["53300"], cancel_wait: 200ms{}}}
 {})",
-                                  options_.threads, list_->port(), yaml::duration_text(options_.progress),
-                                  options_.settings);
+                    options_.threads, options_.of, list_->port(), yaml::duration_text(options_.progress),
+                    options_.engine_settings, options_.settings);
     server_ = std::make_unique<daemon::Server>(daemon::read_config(yaml::Section::text(yaml, "rig")));
     port_ = server_->port();
     auto ready = std::make_shared<std::promise<void>>();
