Deadlines run from when a request may have come, after a stop too

A shard now knows when its thread last had a turn; what it reads right after an absence is taken to have come then, and the module is told the time left.

--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -294,6 +294,9 @@
   } catch (const std::invalid_argument& error) {
     std::cerr << config_file << ":1:1: " << error.what() << std::endl;
     return kWrongUse;
+  } catch (const boost::system::system_error& error) {
+    std::cerr << "heronwell: could not start: " << error.what() << std::endl;
+    return kNoStart;
   } catch (const std::system_error& error) {
     std::cerr << "heronwell: could not start: " << error.what() << std::endl;
     return kNoStart;
--- a/src/daemon/client.cpp
+++ b/src/daemon/client.cpp
@@ -135,7 +135,7 @@
 void ClientConnection::dispatch() {
   auto exchange = std::make_shared<Exchange>();
   exchange->client = shared_from_this();
-  exchange->began = steady_now();
+  exchange->began = shard_.unread_since();
   exchange->keep_alive = parser_.keep_alive() && !shard_.stopping();
   exchange->head_only = parser_.method() == "HEAD";
   exchanges_.push_back(exchange);
--- a/src/daemon/shard.cpp
+++ b/src/daemon/shard.cpp
@@ -14,7 +14,10 @@
 namespace {
 
 using namespace std::chrono_literals;
-constexpr auto kSweep = 250ms;  // between looks at the clocks of all connections
+constexpr auto kTick = 50ms;
+constexpr unsigned kTicksASweep = 5;  // between looks at the clocks of all connections
+constexpr Time kAbsence = 200ms;      // without a turn for so long, this thread was itself away
+constexpr Time kBacklog = 200ms;      // after that, until what came meanwhile is read
 
 double number_in(std::string_view text) {
   double value = 0;
@@ -51,8 +54,9 @@
       index_(index),
       pool_cap_(std::max<std::size_t>(1, config.engines.connections / shards)),
       orders_(context_.get_executor(), [this](std::vector<Order>& orders) { carry_out(orders); }),
-      sweeper_(context_.get_executor()) {
-  sweep();
+      sweeper_(context_.get_executor()),
+      turn_(steady_now()) {
+  tick();
 }
 
 Shard::~Shard() {
@@ -66,23 +70,36 @@
 
 void Shard::serve(Socket socket) { std::make_shared<ClientConnection>(*this, std::move(socket))->start(); }
 
-void Shard::sweep() {
-  sweeper_.expires_after(kSweep);
+void Shard::tick() {
+  sweeper_.expires_after(kTick);
   sweeper_.async_wait([this](boost::system::error_code error) {
     if (error) return;
-    const auto now = steady_now();
-    for (auto* client : std::vector(clients_.begin(), clients_.end())) {
-      client->sweep(now);
-      if (stopping_) client->stop();
-    }
-    for (auto& [id, pool] : pools_)
-      for (const auto& connection : std::vector(pool.idle))
-        if (now > connection->idle_since() + config_.engines.idle_close) connection->close();
-    std::erase_if(pools_, [](const auto& one) { return !one.second.fit && one.second.all.empty(); });
-    sweep();
+    (void)unread_since();
+    if (++ticks_ % kTicksASweep == 0) sweep();
+    tick();
   });
 }
 
+void Shard::sweep() {
+  const auto now = steady_now();
+  for (auto* client : std::vector(clients_.begin(), clients_.end())) {
+    client->sweep(now);
+    if (stopping_) client->stop();
+  }
+  for (auto& [id, pool] : pools_)
+    for (const auto& connection : std::vector(pool.idle))
+      if (now > connection->idle_since() + config_.engines.idle_close) connection->close();
+  std::erase_if(pools_, [](const auto& one) { return !one.second.fit && one.second.all.empty(); });
+}
+
+Time Shard::unread_since() {
+  const auto now = steady_now();
+  const auto last = std::exchange(turn_, now);
+  if (now > last + kAbsence && now > suspect_until_) suspect_from_ = last;
+  if (now > last + kAbsence) suspect_until_ = now + kBacklog;
+  return now < suspect_until_ ? suspect_from_ : now;
+}
+
 void Shard::stop_serving() { stopping_ = true; }
 
 // ---- requests ------------------------------------------------------------------------------------------
@@ -90,6 +107,7 @@
   exchange->cls = ask.asked.cls;
   exchange->tenant = ask.asked.tenant;
   exchange->deadline = exchange->began + ask.asked.time_left;
+  ask.asked.time_left = std::max(Time::zero(), exchange->deadline - steady_now());
   if (stopping_ || exchanges_.size() >= std::max<std::size_t>(1, config_.module.max_open / config_.threads)) {
     router::Problem problem;
     problem.status = 503;
--- a/src/daemon/shard.hpp
+++ b/src/daemon/shard.hpp
@@ -154,6 +154,9 @@
                    bool cancelled = false);
   void note(const AttemptPtr& attempt, const sql::ErrorText& notice);
   void parameter(const AttemptPtr& attempt, std::string_view name, std::string_view value);
+  // The moment since when what is read now may have lain here unread: now, or, right after this thread had no
+  // turn for a while (a stopped process), the last moment it had one. Deadlines run from there.
+  Time unread_since();
   void stop_serving();  // no new requests; connections close as they fall idle
 
   [[nodiscard]] const Config& config() const { return config_; }
@@ -180,6 +183,7 @@
   void launch(const AttemptPtr& attempt);
   ExchangePtr exchange(Ticket ticket);
   void forget(const ExchangePtr& exchange);
+  void tick();
   void sweep();
 
   const Config& config_;
@@ -193,6 +197,8 @@
   Timer sweeper_;
   std::uint64_t tickets_ = 0;
   bool stopping_ = false;
+  unsigned ticks_ = 0;
+  Time turn_{}, suspect_from_{}, suspect_until_{};
   std::unordered_map<Ticket, ExchangePtr> exchanges_;
   std::map<std::pair<Ticket, AttemptIndex>, AttemptPtr> attempts_;
   std::map<EngineId, EnginePool> pools_;
