--- /dev/null
+++ b/benchmarks/graphql_bench.cpp
@@ -0,0 +1,50 @@
+// Parsing GraphQL documents: MB/s and time for small, usual and hostile ones, and memory against their size.
+#include <benchmark/benchmark.h>
+
+#include <string>
+
+#include "graphql/document.hpp"
+
+namespace {
+
+using namespace heronwell::graphql;
+
+const std::string kSmall = "query($g:ID!){route(gate:$g,to:\"B12\"){steps{text metres}}}";
+
+std::string usual() {
+  std::string text = "query Floor($floor: ID!, $lang: String = \"en\") {\n";
+  for (int i = 0; i < 40; ++i)
+    text += "  area" + std::to_string(i) + ": area(floor: $floor, number: " + std::to_string(i) +
+            ", filter: {open: true, kinds: [SHOP, GATE]}) {\n    name(lang: $lang)\n    ...Place\n    "
+            "children @include(if: true) { id }\n  }\n";
+  return text + "}\nfragment Place on Area {\n  id\n  position { x y level }\n}\n";
+}
+std::string hostile() {  // aliases without end
+  std::string text = "{";
+  for (int i = 0; i < 900; ++i) text += "a" + std::to_string(i) + ":b(c:[[[1]]]) ";
+  return text + "}";
+}
+
+void run(benchmark::State& state, const std::string& text) {
+  for (auto _ : state) benchmark::DoNotOptimize(parse(text).definitions.size());
+  state.SetBytesProcessed(static_cast<std::int64_t>(state.iterations() * text.size()));
+}
+
+BENCHMARK_CAPTURE(run, small, kSmall);
+BENCHMARK_CAPTURE(run, usual, usual());
+BENCHMARK_CAPTURE(run, hostile, hostile());
+void too_deep(benchmark::State& state) {
+  const std::string text(200 << 10, '{');
+  for (auto _ : state) {
+    try {
+      benchmark::DoNotOptimize(parse(text).definitions.size());
+    } catch (const Error&) {
+    }
+  }
+  state.SetBytesProcessed(static_cast<std::int64_t>(state.iterations() * text.size()));
+}
+BENCHMARK(too_deep);
+
+}  // namespace
+
+BENCHMARK_MAIN();
--- a/src/graphql/parse.cpp
+++ b/src/graphql/parse.cpp
@@ -671,9 +671,10 @@
     const auto& at = error.positions().front();
     const auto rest = document.text.substr(std::min<std::size_t>(at.byte, document.text.size()));
     const auto near = rest.substr(0, rest.find_first_of(" \t\r\n,", 1)).substr(0, 20);
-    throw Error(
-        {static_cast<std::uint32_t>(at.line), static_cast<std::uint32_t>(at.column)},
-        rest.empty() ? "syntax error: unexpected end" : fmt::format("syntax error near \"{}\"", near));
+    throw Error({static_cast<std::uint32_t>(at.line), static_cast<std::uint32_t>(at.column)},
+                rest.empty()                         ? "syntax error: unexpected end"
+                : rest[0] == '\n' || rest[0] == '\r' ? "syntax error near the end of a line"
+                                                     : fmt::format("syntax error near \"{}\"", near));
   }
   document.definitions = builder.close(builder.definitions);
   return document;
