Log lines stay JSON whatever names hold; GraphQL places looked up only for errors

A zone's name with quotes broke list_entry_refused lines: every text now goes through the JSON writer, and a test reads a router's whole log. Asio's types of the stand-ins moved into one header.

--- a/src/daemon/decisions.cpp
+++ b/src/daemon/decisions.cpp
@@ -82,7 +82,8 @@
   metrics_.list_updates->Increment();
   for (const auto& why : change.refused) {
     metrics_.list_refused->Increment();
-    spdlog::warn(R"({{"event":"list_entry_refused","gateway":"{}","detail":"{}"}})", config_.name, why);
+    spdlog::warn(R"({{"event":"list_entry_refused","gateway":{},"detail":{}}})", quoted(config_.name),
+                 quoted(why));
   }
   if (!change.changed) return;
   // The shards hear of it before any command that the module gives in the light of it.
@@ -90,7 +91,7 @@
   for (auto& orders : orders_) orders.emplace_back(fleet);
   const auto ready = std::ranges::count(change.listing.engines, EngineState::ready, &EngineEntry::state);
   metrics_.engines_ready->Set(static_cast<double>(ready));
-  spdlog::info(R"({{"event":"list","gateway":"{}","engines":{},"ready":{}}})", config_.name,
+  spdlog::info(R"({{"event":"list","gateway":{},"engines":{},"ready":{}}})", quoted(config_.name),
                listed.entries.size(), ready);
   host_.listing(std::move(change.listing));
   if (ready > 0 && ready_) std::exchange(ready_, nullptr)();
@@ -108,7 +109,8 @@
 
 void Decisions::carry_out(router::Command& command) {
   if (const auto* line = std::get_if<router::TraceLine>(&command)) {
-    spdlog::info(R"({{"event":"decision","gateway":"{}","detail":"{}"}})", config_.name, line->text);
+    spdlog::info(R"({{"event":"decision","gateway":{},"detail":{}}})", quoted(config_.name),
+                 quoted(line->text));
   } else if (const auto* tell = std::get_if<router::TellPeers>(&command)) {
     tell_peers(*tell);
   } else if (std::holds_alternative<router::ObserveList>(command)) {
--- a/src/daemon/lists.cpp
+++ b/src/daemon/lists.cpp
@@ -21,7 +21,7 @@
 constexpr std::size_t kMostList = 64 << 20;
 
 void say(const char* event, const std::string& what) {
-  spdlog::warn(R"({{"event":"{}","detail":"{}"}})", event, what);
+  spdlog::warn(R"({{"event":"{}","detail":{}}})", event, quoted(what));
 }
 
 }  // namespace
--- a/src/daemon/shard.cpp
+++ b/src/daemon/shard.cpp
@@ -150,9 +150,9 @@
   if (config_.log.requests == "none" || (config_.log.requests == "problems" && good)) return;
   const auto& cls = config_.module.classes[exchange->cls];
   spdlog::info(
-      R"({{"event":"request","gateway":"{}","ticket":{},"class":"{}","end":"{}","status":{},"ms":{:.3f},"attempts":{},"engine":{}}})",
-      config_.name, exchange->ticket, exchange->ticket == 0 ? "" : cls.name, end.text(), status,
-      milliseconds(took), exchange->attempts, exchange->engine);
+      R"({{"event":"request","gateway":{},"ticket":{},"class":{},"end":"{}","status":{},"ms":{:.3f},"attempts":{},"engine":{}}})",
+      quoted(config_.name), exchange->ticket, quoted(exchange->ticket == 0 ? "" : cls.name), end.text(),
+      status, milliseconds(took), exchange->attempts, exchange->engine);
 }
 
 // ---- attempts ------------------------------------------------------------------------------------------
--- a/src/daemon/shard.hpp
+++ b/src/daemon/shard.hpp
@@ -31,6 +31,13 @@
                                          asio::wait_traits<std::chrono::steady_clock>, Executor>;
 using router::Ticket;
 
+// A text as JSON, for log lines: quoted, with nothing in it that could end the line or the quotes.
+inline std::string quoted(std::string_view text) {
+  std::string out;
+  router::put_json_text(out, text);
+  return out;
+}
+
 inline Time steady_now() { return std::chrono::steady_clock::now().time_since_epoch(); }
 inline Timer::time_point at(Time moment) {
   return Timer::time_point(std::chrono::duration_cast<std::chrono::steady_clock::duration>(moment));
--- a/src/graphql/document.cpp
+++ b/src/graphql/document.cpp
@@ -16,7 +16,7 @@
 // ----------------------------------------------------------------------
 class Spreading {
  public:
-  Spreading(const Document& document, const Limits& limits) : limits_(limits) {
+  Spreading(const Document& document, const Limits& limits) : text_(document.text), limits_(limits) {
     for (const auto& definition : document.definitions)
       if (definition.kind == DefinitionKind::fragment) fragments_.try_emplace(definition.name, &definition);
   }
@@ -27,7 +27,7 @@
       sum += selection.kind == SelectionKind::field ? 1 : 0;
       sum += selection.kind == SelectionKind::spread ? of_fragment(selection) : of(selection.selections);
       if (sum > limits_.spread)
-        throw Error(selection.at,
+        throw Error(place_of(text_, selection.at),
                     fmt::format("more than {} fields once fragments are spread", limits_.spread));
     }
     return sum;
@@ -40,13 +40,14 @@
     if (found == fragments_.end()) return 0;
     const auto [cost, fresh] = costs_.try_emplace(spread.name);
     if (!fresh && !cost->second)
-      throw Error(spread.at, fmt::format("fragment \"{}\" spreads itself", spread.name));
+      throw Error(place_of(text_, spread.at), fmt::format("fragment \"{}\" spreads itself", spread.name));
     if (!fresh) return *cost->second;
     const auto sum = of(found->second->selections);
     costs_[spread.name] = sum;
     return sum;
   }
 
+  std::string_view text_;
   const Limits& limits_;
   std::unordered_map<std::string_view, const Definition*> fragments_;
   std::unordered_map<std::string_view, std::optional<std::size_t>> costs_;  // none: being counted
@@ -214,6 +215,15 @@
 
 }  // namespace
 
+Place place_of(std::string_view text, Location at) {
+  const auto before = text.substr(0, at.offset);
+  const auto line = before.rfind('\n');
+  return {
+      static_cast<std::uint32_t>(std::ranges::count(before, '\n')) + 1,
+      static_cast<std::uint32_t>(line == std::string_view::npos ? before.size() : before.size() - line - 1) +
+          1};
+}
+
 std::size_t spread_cost(const Document& document, const Limits& limits) {
   Spreading spreading(document, limits);
   std::size_t sum = 0;
--- a/src/graphql/document.hpp
+++ b/src/graphql/document.hpp
@@ -14,8 +14,12 @@
 namespace heronwell::graphql {
 
 struct Location {
+  std::uint32_t offset = 0;  // bytes into the text: a line is looked up only for those who ask
+};
+struct Place {
   std::uint32_t line = 0, column = 0;  // from 1; columns count bytes
 };
+Place place_of(std::string_view text, Location at);
 
 // Bounds of a document; each error names the one that was passed.
 struct Limits {
@@ -29,8 +33,8 @@
 };
 
 struct Error : std::runtime_error {
-  Error(Location at, const std::string& what) : std::runtime_error(what), location(at) {}
-  Location location;
+  Error(Place at, const std::string& what) : std::runtime_error(what), place(at) {}
+  Place place;
 };
 
 enum class ValueKind { variable, integer, floating, string, boolean, null, enumeration, list, object };
--- a/src/graphql/parse.cpp
+++ b/src/graphql/parse.cpp
@@ -14,10 +14,17 @@
 
 namespace pegtl = tao::pegtl;
 
+// Thrown by actions, which know offsets only.
+struct Fault {
+  Location at;
+  std::string what;
+};
+
 // ---- what the grammar's actions build -------------------------------------------------------------------
 class Builder {
  public:
-  Builder(std::pmr::memory_resource& arena, const Limits& limits) : arena_(arena), limits_(limits) {}
+  Builder(std::pmr::memory_resource& arena, const Limits& limits, const char* first)
+      : begin(first), arena_(arena), limits_(limits) {}
 
   // A list under construction is the end of a stack, from where it began.
   template <class T>
@@ -48,11 +55,12 @@
     return {place, made.size()};
   }
   void count(std::size_t& counter, std::size_t most, const char* what, Location at) const {
-    if (++counter > most) throw Error(at, fmt::format("more than {} {}", most, what));
+    if (++counter > most) throw Fault{at, fmt::format("more than {} {}", most, what)};
   }
   void token(Location at) { count(tokens, limits_.tokens, "tokens", at); }
   const Limits& limits() const { return limits_; }
 
+  const char* begin;
   std::size_t tokens = 0, depth = 0, fields_seen = 0, aliases = 0, directives_seen = 0, constant = 0;
   std::string_view name, text;  // the last name, the last string
   Location name_at, text_at, punctuator_at;
@@ -83,9 +91,8 @@
 };
 
 template <class Input>
-Location place(const Input& in) {
-  const auto at = in.position();
-  return {static_cast<std::uint32_t>(at.line), static_cast<std::uint32_t>(at.column)};
+Location place(const Input& in, const Builder& b) {
+  return {static_cast<std::uint32_t>(in.begin() - b.begin)};
 }
 
 // ---- tokens ----------------------------------------------------------------------------------------------
@@ -131,7 +138,7 @@
   template <pegtl::apply_mode A, pegtl::rewind_mode M, template <typename...> class Action,
             template <typename...> class Control, typename Input>
   static bool match(Input& in, Builder& b) {
-    b.count(b.depth, b.limits().depth, "levels", place(in));
+    b.count(b.depth, b.limits().depth, "levels", {static_cast<std::uint32_t>(in.current() - b.begin)});
     const bool matched = Control<pegtl::seq<Rules...>>::template match<A, M, Action, Control>(in, b);
     --b.depth;
     return matched;
@@ -358,7 +365,7 @@
 
 std::string decode(std::string_view raw, Location at) {
   std::string out;
-  const auto wrong = [at](const char* what) { throw Error(at, std::string("a string with ") + what); };
+  const auto wrong = [at](const char* what) { throw Fault{at, std::string("a string with ") + what}; };
   while (!raw.empty()) {
     const auto slash = raw.find('\\');
     out += raw.substr(0, slash);
@@ -433,28 +440,28 @@
 
 HERONWELL_ON(name_text) {
   b.name = in.string_view();
-  b.name_at = place(in);
+  b.name_at = place(in, b);
   b.token(b.name_at);
 }
 HERONWELL_ON(number_text) {
   b.text = in.string_view();
-  b.text_at = place(in);
+  b.text_at = place(in, b);
   b.token(b.text_at);
 }
 HERONWELL_ON(string_raw) {
-  b.text_at = place(in);
+  b.text_at = place(in, b);
   b.token(b.text_at);
   b.text = in.string_view();
   if (b.text.find('\\') != std::string_view::npos) b.text = b.keep_text(decode(b.text, b.text_at));
 }
 HERONWELL_ON(block_raw) {
-  b.text_at = place(in);
+  b.text_at = place(in, b);
   b.token(b.text_at);
   b.text = b.keep_text(block_value(in.string_view()));
 }
 HERONWELL_ON(variable_value) {
-  if (b.constant > 0) throw Error(place(in), "a variable where only constants may stand");
-  b.value = {ValueKind::variable, place(in), b.name, {}, {}};
+  if (b.constant > 0) throw Fault{place(in, b), "a variable where only constants may stand"};
+  b.value = {ValueKind::variable, place(in, b), b.name, {}, {}};
 }
 HERONWELL_ON(number_value) {
   const bool whole_number = b.text.find_first_of(".eE") == std::string_view::npos;
@@ -468,8 +475,8 @@
   b.value = {kind, b.name_at, b.name, {}, {}};
 }
 HERONWELL_ON(list_open) {
-  b.token(place(in));
-  b.openers.push_back({ValueKind::list, place(in), {}, {}, {}});
+  b.token(place(in, b));
+  b.openers.push_back({ValueKind::list, place(in, b), {}, {}, {}});
   b.values.open();
 }
 HERONWELL_ON(list_item) { b.values.all.push_back(b.value); }
@@ -479,8 +486,8 @@
   b.value.items = b.close(b.values);
 }
 HERONWELL_ON(object_open) {
-  b.token(place(in));
-  b.openers.push_back({ValueKind::object, place(in), {}, {}, {}});
+  b.token(place(in, b));
+  b.openers.push_back({ValueKind::object, place(in, b), {}, {}, {}});
   b.fields.open();
 }
 HERONWELL_ON(object_key) { b.names.emplace_back(b.name, b.name_at); }
@@ -499,13 +506,13 @@
 HERONWELL_ON(argument) { Action<object_field>::apply(in, b); }
 HERONWELL_ON(directives_open) { b.directives.open(); }
 HERONWELL_ON(directive_name) {
-  b.count(b.directives_seen, b.limits().directives, "directives", place(in));
-  b.directives.all.push_back({b.name, place(in), {}});
+  b.count(b.directives_seen, b.limits().directives, "directives", place(in, b));
+  b.directives.all.push_back({b.name, place(in, b), {}});
 }
 HERONWELL_ON(directive) { b.directives.all.back().arguments = b.close(b.fields); }
 HERONWELL_ON(named_type) { b.type_stack.push_back({b.name, nullptr, false, b.name_at}); }
 HERONWELL_ON(list_type) {
-  const TypeRef list{{}, b.keep(b.type_stack.back()), false, place(in)};
+  const TypeRef list{{}, b.keep(b.type_stack.back()), false, place(in, b)};
   b.type_stack.back() = list;
 }
 HERONWELL_ON(non_null) { b.type_stack.back().non_null = true; }
@@ -531,10 +538,10 @@
 HERONWELL_ON(field_arguments) { b.open_selections.back().arguments = b.close(b.fields); }
 HERONWELL_ON(selection_directives) { b.open_selections.back().directives = b.close(b.directives); }
 HERONWELL_ON(dots_open) {
-  b.token(place(in));
+  b.token(place(in, b));
   Selection fragment;
   fragment.kind = SelectionKind::inline_fragment;
-  fragment.at = place(in);
+  fragment.at = place(in, b);
   b.open_selections.push_back(fragment);
 }
 HERONWELL_ON(condition) { b.open_selections.back().on = b.name; }
@@ -543,7 +550,7 @@
   b.open_selections.back().name = b.name;
 }
 HERONWELL_ON(selections_open) {
-  b.token(place(in));
+  b.token(place(in, b));
   b.selections.open();
 }
 HERONWELL_ON(leaf) { b.selections.open(); }
@@ -554,7 +561,7 @@
   b.selections.all.push_back(selection);
 }
 
-HERONWELL_ON(variable_name) { b.names.emplace_back(b.name, place(in)); }
+HERONWELL_ON(variable_name) { b.names.emplace_back(b.name, place(in, b)); }
 HERONWELL_ON(default_value) { b.fallbacks.push_back(b.keep(b.value)); }
 HERONWELL_ON(no_default) { b.fallbacks.push_back(nullptr); }
 const Value* pop_fallback(Builder& b) {
@@ -572,7 +579,7 @@
 
 HERONWELL_ON(definition_begin) {
   b.definition = {};
-  b.definition.at = place(in);
+  b.definition.at = place(in, b);
 }
 HERONWELL_ON(definition_end) { b.definitions.all.push_back(b.definition); }
 HERONWELL_ON(definition_name) { b.definition.name = b.name; }
@@ -661,12 +668,14 @@
   auto* copy = static_cast<char*>(document.arena_->allocate(text.size() + 1, 1));
   std::copy(text.begin(), text.end(), copy);
   document.text = {copy, text.size()};
-  Builder builder(*document.arena_, limits);
+  Builder builder(*document.arena_, limits, copy);
   builder.definitions.open();
-  pegtl::memory_input<pegtl::tracking_mode::eager, pegtl::eol::lf> in(document.text.data(),
-                                                                      document.text.size(), "");
+  pegtl::memory_input<pegtl::tracking_mode::lazy, pegtl::eol::lf> in(document.text.data(),
+                                                                     document.text.size(), "");
   try {
     pegtl::parse<graphql::document, Action>(in, builder);
+  } catch (const Fault& fault) {
+    throw Error(place_of(document.text, fault.at), fault.what);
   } catch (const pegtl::parse_error& error) {
     const auto& at = error.positions().front();
     const auto rest = document.text.substr(std::min<std::size_t>(at.byte, document.text.size()));
--- a/src/rehearsal/engine.cpp
+++ b/src/rehearsal/engine.cpp
@@ -3,15 +3,6 @@
 #include <fmt/format.h>
 #include <sys/socket.h>
 
-#include <boost/asio/awaitable.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
 #include <charconv>
 #include <deque>
 #include <map>
@@ -20,18 +11,12 @@
 #include <set>
 #include <sstream>
 
+#include "rehearsal/asio.hpp"
 #include "sql/protocol.hpp"
 
 namespace heronwell::rehearsal {
 namespace {
 
-namespace asio = boost::asio;
-using Executor = asio::io_context::executor_type;
-using Socket = asio::basic_stream_socket<asio::ip::tcp, Executor>;
-using Acceptor = asio::basic_socket_acceptor<asio::ip::tcp, Executor>;
-using Timer = asio::basic_waitable_timer<std::chrono::steady_clock,
-                                         asio::wait_traits<std::chrono::steady_clock>, Executor>;
-constexpr auto kToken = asio::use_awaitable_t<Executor>{};
 constexpr std::size_t kMostMessage = 16 << 20;
 constexpr std::size_t kChunk = 256 << 10;  // bytes of rows on their way at a time
 
@@ -122,11 +107,7 @@
         notes(io.get_executor()),
         model(options.traits, steady_clock_now(), options.warm),
         random(options.seed) {
-    const asio::ip::tcp::endpoint at(asio::ip::make_address("127.0.0.1"), options.port);
-    acceptor.open(at.protocol());
-    acceptor.set_option(Acceptor::reuse_address(true));
-    acceptor.bind(at);
-    acceptor.listen(1024);
+    listen(acceptor, options.port);
     record("listening",
            fmt::format(R"("port":{},"warm":{})", acceptor.local_endpoint().port(), options.warm));
   }
--- a/src/rehearsal/list.cpp
+++ b/src/rehearsal/list.cpp
@@ -2,31 +2,16 @@
 
 #include <fmt/format.h>
 
-#include <boost/asio/awaitable.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
 #include <charconv>
 #include <set>
 
 #include "base/yaml.hpp"
 #include "http/message.hpp"
+#include "rehearsal/asio.hpp"
 
 namespace heronwell::rehearsal {
 namespace {
 
-namespace asio = boost::asio;
-using Executor = asio::io_context::executor_type;
-using Socket = asio::basic_stream_socket<asio::ip::tcp, Executor>;
-using Acceptor = asio::basic_socket_acceptor<asio::ip::tcp, Executor>;
-using Timer = asio::basic_waitable_timer<std::chrono::steady_clock,
-                                         asio::wait_traits<std::chrono::steady_clock>, Executor>;
-constexpr auto kToken = asio::use_awaitable_t<Executor>{};
 constexpr std::string_view kPath = "/v1/health/service/";
 
 std::string parameter(std::string_view target, std::string_view name) {
@@ -49,11 +34,7 @@
         recorder(to),
         acceptor(io.get_executor()),
         changed(io.get_executor(), Timer::time_point::max()) {
-    const asio::ip::tcp::endpoint at(asio::ip::make_address("127.0.0.1"), port);
-    acceptor.open(at.protocol());
-    acceptor.set_option(Acceptor::reuse_address(true));
-    acceptor.bind(at);
-    acceptor.listen(1024);
+    listen(acceptor, port);
   }
 
   void accept() {
--- a/src/rehearsal/load.cpp
+++ b/src/rehearsal/load.cpp
@@ -2,30 +2,16 @@
 
 #include <fmt/format.h>
 
-#include <boost/asio/awaitable.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
 #include <memory>
 #include <nlohmann/json.hpp>
 
 #include "http/message.hpp"
+#include "rehearsal/asio.hpp"
 
 namespace heronwell::rehearsal {
 namespace {
 
-namespace asio = boost::asio;
 using namespace std::chrono_literals;
-using Executor = asio::io_context::executor_type;
-using Socket = asio::basic_stream_socket<asio::ip::tcp, Executor>;
-using Timer = asio::basic_waitable_timer<std::chrono::steady_clock,
-                                         asio::wait_traits<std::chrono::steady_clock>, Executor>;
-constexpr auto kToken = asio::use_awaitable_t<Executor>{};
 constexpr Time kPatience = 5s;       // past its deadline, before a client records that no answer came
 constexpr Time kUsualPause = 200ms;  // before a retry, where the answer does not say
 constexpr std::size_t kKeptBody = 4096;
@@ -99,8 +85,7 @@
       idle.pop_back();
     } else {
       c = std::make_shared<Connection>(context_);
-      co_await c->socket.async_connect({asio::ip::make_address("127.0.0.1"), ports_[ask.gateway]},
-                                       asio::redirect_error(kToken, error));
+      co_await c->socket.async_connect(loopback(ports_[ask.gateway]), asio::redirect_error(kToken, error));
       if (error) {
         ++report_.unconnected;
         write("unconnected", id, fmt::format(R"("gw":"gw-{}","cls":"{}")", ask.gateway, cls.name));
--- a/src/rehearsal/relay.cpp
+++ b/src/rehearsal/relay.cpp
@@ -1,26 +1,14 @@
 #include "rehearsal/relay.hpp"
 
-#include <boost/asio/awaitable.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
 #include <pcg_random.hpp>
 #include <random>
 
+#include "rehearsal/asio.hpp"
 #include "sql/protocol.hpp"
 
 namespace heronwell::rehearsal {
 namespace {
 
-namespace asio = boost::asio;
-using Executor = asio::io_context::executor_type;
-using Socket = asio::basic_stream_socket<asio::ip::tcp, Executor>;
-using Acceptor = asio::basic_socket_acceptor<asio::ip::tcp, Executor>;
-constexpr auto kToken = asio::use_awaitable_t<Executor>{};
 constexpr std::size_t kMostMessage = 16 << 20;
 
 }  // namespace
@@ -28,11 +16,7 @@
 struct Relay::Parts : std::enable_shared_from_this<Parts> {
   Parts(asio::io_context& io, std::uint16_t port, std::uint16_t to, RelayFaults given, std::uint64_t seed)
       : context(io), acceptor(io.get_executor()), engine(to), faults(given), random(seed) {
-    const asio::ip::tcp::endpoint at(asio::ip::make_address("127.0.0.1"), port);
-    acceptor.open(at.protocol());
-    acceptor.set_option(Acceptor::reuse_address(true));
-    acceptor.bind(at);
-    acceptor.listen(1024);
+    listen(acceptor, port);
   }
 
   bool chance(double part) { return part > 0 && std::generate_canonical<double, 32>(random) < part; }
@@ -59,8 +43,7 @@
 
   asio::awaitable<void, Executor> statements(std::shared_ptr<Socket> router, std::shared_ptr<Socket> to) {
     boost::system::error_code error;
-    co_await to->async_connect({asio::ip::make_address("127.0.0.1"), engine},
-                               asio::redirect_error(kToken, error));
+    co_await to->async_connect(loopback(engine), asio::redirect_error(kToken, error));
     if (error) co_return close(*router, *to);
     asio::co_spawn(
         context.get_executor(), [self = shared_from_this(), router, to] { return self->answers(router, to); },
--- a/tests/e2e/stall_test.cpp
+++ b/tests/e2e/stall_test.cpp
@@ -1,5 +1,6 @@
 // A router process that had no turn for a while: deadlines run from the moment a request may have come.
 #include <csignal>
+#include <set>
 
 #include "rehearsal/process.hpp"
 #include "rig.hpp"
@@ -29,5 +30,41 @@
   EXPECT_EQ(first.answer().status, 200);
 }
 
+TEST(Logs, AreOneJsonObjectALineWhateverIsInThem) {
+  const auto folder = std::filesystem::temp_directory_path() / fmt::format("heronwell-log-{}", ::getpid());
+  std::filesystem::create_directories(folder);
+  std::ofstream(folder / "list.yaml") << "engines: [{name: 'a\"b', port: 9, zone: 'no \"such\" zone', kind: "
+                                         "k}, {name: c, port: 9, kind: k}]\n";
+  std::ofstream(folder / "router.yaml") << fmt::format(
+      "gateway: {{name: 'gw \"1\"'}}\nlisten: {{port: 0}}\nlist: {{file: {}/list.yaml}}\nkinds: {{k: "
+      "{{cores: 1}}}}\n"
+      "classes: {{'a \"class\"': {{aim: 100ms, give_up: 200ms}}}}\n",
+      folder.string());
+  {
+    rehearsal::Process router({HERONWELL_PROGRAM, "serve", "--config", folder / "router.yaml"},
+                              folder / "log");
+    const auto line = router.line(10s);
+    Client client(static_cast<std::uint16_t>(std::stoul(line.substr(line.rfind(':') + 1))));
+    client.post(R"({"statement":"select 1","class":"a \"class\""})");
+    EXPECT_EQ(client.answer().status, 503);  // nobody listens on port 9
+    client.post("nonsense");
+    EXPECT_EQ(client.answer().status, 400);
+    router.signal(SIGTERM);
+    EXPECT_TRUE(router.wait(5s));
+    EXPECT_EQ(router.wait(), 0);
+  }
+  std::ifstream log(folder / "log");
+  std::set<std::string> events;
+  for (std::string text; std::getline(log, text);) {
+    const auto json = nlohmann::json::parse(text, nullptr, false);
+    ASSERT_TRUE(json.is_object()) << text;
+    events.insert(json["data"]["event"].get<std::string>() + " " + json["data"].value("end", ""));
+  }
+  for (const auto* event : {"list_entry_refused ", "list ", "decision ", "request B-"})
+    EXPECT_TRUE(events.contains(event)) << event;
+  EXPECT_TRUE(events.contains("request RA") || events.contains("request RH"));
+  std::filesystem::remove_all(folder);
+}
+
 }  // namespace
 }  // namespace heronwell::e2e
--- a/tests/graphql/document_test.cpp
+++ b/tests/graphql/document_test.cpp
@@ -11,8 +11,7 @@
   try {
     return print(parse(text, limits));
   } catch (const Error& error) {
-    return std::to_string(error.location.line) + ":" + std::to_string(error.location.column) + " " +
-           error.what();
+    return std::to_string(error.place.line) + ":" + std::to_string(error.place.column) + " " + error.what();
   }
 }
 
@@ -101,11 +100,11 @@
 TEST(Locations, AreThoseOfTheNodes) {
   const auto d = parse("{\n  a: b(c: [1,\n 2]) @d\n}");
   const auto& field = d.definitions[0].selections[0];
-  EXPECT_EQ(field.at.line, 2U);
-  EXPECT_EQ(field.at.column, 3U);
+  EXPECT_EQ(place_of(d.text, field.at).line, 2U);
+  EXPECT_EQ(place_of(d.text, field.at).column, 3U);
   EXPECT_EQ(field.key(), "a");
-  EXPECT_EQ(field.arguments[0].value.items[1].at.line, 3U);
-  EXPECT_EQ(field.directives[0].at.column, 6U);
+  EXPECT_EQ(place_of(d.text, field.arguments[0].value.items[1].at).line, 3U);
+  EXPECT_EQ(place_of(d.text, field.directives[0].at).column, 6U);
 }
 
 std::string many(std::string_view text, std::size_t times) {
