--- a/src/graphql/parse.cpp
+++ b/src/graphql/parse.cpp
@@ -467,7 +467,7 @@
   const bool whole_number = b.text.find_first_of(".eE") == std::string_view::npos;
   b.value = {whole_number ? ValueKind::integer : ValueKind::floating, b.text_at, b.text, {}, {}};
 }
-HERONWELL_ON(string_value) { b.value = {ValueKind::string, b.text_at, b.text, {}, {}}; }
+HERONWELL_ON(string_value) { b.value = {ValueKind::string, place(in, b), b.text, {}, {}}; }
 HERONWELL_ON(name_value) {
   const auto kind = b.name == "true" || b.name == "false" ? ValueKind::boolean
                     : b.name == "null"                    ? ValueKind::null
