--- a/src/daemon/shard.hpp
+++ b/src/daemon/shard.hpp
@@ -13,6 +13,7 @@
 #include <variant>
 #include <vector>
 
+#include "base/json.hpp"
 #include "daemon/config.hpp"
 #include "daemon/mailbox.hpp"
 #include "daemon/metrics.hpp"
@@ -34,7 +35,7 @@
 // A text as JSON, for log lines: quoted, with nothing in it that could end the line or the quotes.
 inline std::string quoted(std::string_view text) {
   std::string out;
-  router::put_json_text(out, text);
+  put_json_text(out, text);
   return out;
 }
 
--- a/src/graphql/document.cpp
+++ b/src/graphql/document.cpp
@@ -241,4 +241,10 @@
   return printer.out;
 }
 
+std::string print(const Value& value) {
+  Printer printer;
+  printer.value(value);
+  return printer.out;
+}
+
 }  // namespace heronwell::graphql
--- a/src/graphql/document.hpp
+++ b/src/graphql/document.hpp
@@ -168,5 +168,6 @@
 
 // The document in one canonical form, for tests and logs: parse(print(d)) prints the same.
 std::string print(const Document& document);
+std::string print(const Value& value);
 
 }  // namespace heronwell::graphql
--- a/src/graphql/schema.cpp
+++ b/src/graphql/schema.cpp
@@ -3,8 +3,12 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <array>
+#include <functional>
 #include <utility>
 
+#include "graphql/values.hpp"
+
 namespace heronwell::graphql {
 namespace {
 
@@ -76,8 +80,9 @@
 }
 std::string_view named(const TypeRef& type) { return type.of != nullptr ? named(*type.of) : type.name; }
 
-Schema::Schema(std::string_view sdl) {
+Schema::Schema(std::string_view sdl, std::string_view prelude) {
   built_in_ = std::make_unique<Document>(parse(kBuiltIn));
+  if (!prelude.empty()) prelude_ = std::make_unique<Document>(parse(prelude));
   Limits limits;
   limits.bytes = 16 << 20;  // the operator's own text
   limits.tokens = limits.fields = limits.directives = 1'000'000;
@@ -87,11 +92,13 @@
     throw SchemaError(fmt::format("{}:{}: {}", error.place.line, error.place.column, error.what()));
   }
   add(*built_in_, true);
+  if (prelude_) add(*prelude_, true);
   roots_ = {{DefinitionKind::query, "Query"},
             {DefinitionKind::mutation, "Mutation"},
             {DefinitionKind::subscription, "Subscription"}};
   add(*document_, false);
   check();
+  if (errors_.empty()) check_uses();  // which rests on what was checked before
   if (errors_.empty()) return;
   std::ranges::stable_sort(errors_, {}, [](const auto& one) { return one.first.offset; });
   std::string all;
@@ -157,6 +164,7 @@
       wrong(d.at, "an operation or fragment in a schema");
     } else if (d.kind == DefinitionKind::schema) {
       if (!d.extends && std::exchange(schema, true)) wrong(d.at, "a second schema definition");
+      if (!d.extends) description_ = d.description;
       if (!d.extends) roots_.clear();
       for (const auto& one : d.types)
         roots_[one.operation == "query"      ? DefinitionKind::query
@@ -296,4 +304,85 @@
   }
 }
 
+bool Schema::hidden(const Definition& directive) const {
+  return prelude_ &&
+         std::ranges::any_of(prelude_->definitions, [&](const Definition& d) { return &d == &directive; });
+}
+
+// ---- directives where they are used, defaults, input types that need themselves ------------------------
+void Schema::check_uses() {
+  const auto inputs = [this](const auto& all, std::string_view where) {
+    for (const auto& one : all) {
+      check_default(one);
+      check_directives(one.directives, where);
+    }
+  };
+  for (const auto& d : document_->definitions) {
+    static constexpr std::array<std::string_view, 8> kPlaces{"SCHEMA", "SCALAR", "OBJECT",       "INTERFACE",
+                                                             "UNION",  "ENUM",   "INPUT_OBJECT", ""};
+    const auto kind = static_cast<std::size_t>(d.kind) - static_cast<std::size_t>(DefinitionKind::schema);
+    check_directives(d.directives, kPlaces[kind]);
+    for (const auto& field : d.fields) {
+      check_directives(field.directives, "FIELD_DEFINITION");
+      inputs(field.arguments, "ARGUMENT_DEFINITION");
+    }
+    inputs(d.inputs, d.kind == DefinitionKind::directive ? "ARGUMENT_DEFINITION" : "INPUT_FIELD_DEFINITION");
+    for (const auto& value : d.values) check_directives(value.directives, "ENUM_VALUE");
+  }
+  check_cycles();
+}
+
+void Schema::check_directives(std::span<const Directive> uses, std::string_view where) {
+  for (std::size_t i = 0; i < uses.size(); ++i) {
+    const auto& use = uses[i];
+    const auto* definition = directive(use.name);
+    if (definition == nullptr) {
+      wrong(use.at, fmt::format("unknown directive \"@{}\"", use.name));
+      continue;
+    }
+    if (std::ranges::count(definition->types, where, &NamedType::name) == 0)
+      wrong(use.at, fmt::format("\"@{}\" can't stand at {}", use.name, where));
+    if (!definition->repeatable && std::ranges::count(uses.first(i), use.name, &Directive::name) > 0)
+      wrong(use.at, fmt::format("\"@{}\" stands twice", use.name));
+    for (const auto& argument : use.arguments) {
+      const auto known = std::ranges::find(definition->inputs, argument.name, &InputValue::name);
+      if (known == definition->inputs.end())
+        wrong(argument.at, fmt::format("\"@{}\" has no argument \"{}\"", use.name, argument.name));
+      else if (const auto misfit = literal_misfit(*this, argument.value, known->type))
+        wrong(argument.value.at,
+              fmt::format("\"{}\" of \"@{}\": {}", argument.name, use.name, misfit->message));
+    }
+    for (const auto& input : definition->inputs)
+      if (input.type.non_null && input.fallback == nullptr &&
+          std::ranges::count(use.arguments, input.name, &Argument::name) == 0)
+        wrong(use.at, fmt::format("\"@{}\" needs argument \"{}\"", use.name, input.name));
+  }
+}
+
+void Schema::check_default(const InputValue& input) {
+  if (input.fallback == nullptr) return;
+  if (const auto misfit = literal_misfit(*this, *input.fallback, input.type))
+    wrong(input.fallback->at, fmt::format("default of \"{}\": {}", input.name, misfit->message));
+}
+
+// "An input object must not need itself": by fields that are non-null and no list.
+void Schema::check_cycles() {
+  std::set<std::string_view> done;
+  std::vector<std::string_view> way;
+  const std::function<void(const Type&)> visit = [&](const Type& type) {
+    if (done.contains(type.name)) return;
+    if (std::ranges::count(way, type.name) > 0)
+      return wrong(type.at, fmt::format("\"{}\" needs itself: no value of it can be written", type.name));
+    way.push_back(type.name);
+    for (const auto* input : type.inputs)
+      if (input->type.non_null && input->type.of == nullptr)
+        if (const auto* next = this->type(input->type.name); next != nullptr && next->kind == TypeKind::input)
+          visit(*next);
+    way.pop_back();
+    done.insert(type.name);
+  };
+  for (const auto& [name, type] : types_)
+    if (type.kind == TypeKind::input) visit(type);
+}
+
 }  // namespace heronwell::graphql
--- a/src/graphql/schema.hpp
+++ b/src/graphql/schema.hpp
@@ -45,8 +45,9 @@
 
 class Schema {
  public:
-  // Throws SchemaError with all that is wrong, in the order of the text.
-  explicit Schema(std::string_view sdl);
+  // Throws SchemaError with all that is wrong, in the order of the text. `prelude`: definitions that stand
+  // before it, which introspection does not show.
+  explicit Schema(std::string_view sdl, std::string_view prelude = {});
   Schema(Schema&&) = default;
 
   [[nodiscard]] const Type* type(std::string_view name) const;
@@ -55,6 +56,12 @@
   // Of a composite type; __schema and __type on the query's root, __typename everywhere. Null: none.
   [[nodiscard]] const FieldDefinition* field(const Type& parent, std::string_view name) const;
   [[nodiscard]] const std::map<std::string_view, Type>& types() const { return types_; }
+  [[nodiscard]] const std::map<std::string_view, const Definition*>& directives() const {
+    return directives_;
+  }
+  [[nodiscard]] bool hidden(const Definition& directive) const;  // of the prelude
+  [[nodiscard]] std::string_view description() const { return description_; }
+  [[nodiscard]] std::string_view text() const { return document_->text; }  // that locations refer to
 
  private:
   void add(const Document& document, bool built_in);
@@ -62,10 +69,15 @@
   void check();
   void check_fields(const Type& type);
   void check_interfaces(const Type& type);
+  void check_uses();
+  void check_directives(std::span<const Directive> uses, std::string_view where);
+  void check_default(const InputValue& input);
+  void check_cycles();
   [[nodiscard]] bool covariant(const TypeRef& mine, const TypeRef& theirs) const;
   void wrong(Location at, const std::string& what);
 
-  std::unique_ptr<Document> built_in_, document_;
+  std::unique_ptr<Document> built_in_, prelude_, document_;
+  std::string_view description_;
   std::map<std::string_view, Type> types_;
   std::map<std::string_view, const Definition*> directives_;
   std::map<DefinitionKind, std::string_view> roots_;
--- a/src/router/front.cpp
+++ b/src/router/front.cpp
@@ -9,8 +9,8 @@
 #include <charconv>
 #include <cmath>
 
+#include "base/json.hpp"
 #include "base/yaml.hpp"
-#include "router/rows.hpp"
 #include "router/settings.hpp"
 
 namespace heronwell::router {
--- a/src/router/rows.hpp
+++ b/src/router/rows.hpp
@@ -13,8 +13,6 @@
 
 namespace heronwell::router {
 
-void put_json_text(std::string& out, std::string_view text);  // quoted; bytes that are no UTF-8 become U+FFFD
-
 class JsonRows {
  public:
   void columns(std::string& out, const std::vector<sql::Column>& columns);
--- a/src/sql/protocol.hpp
+++ b/src/sql/protocol.hpp
@@ -45,6 +45,10 @@
   std::string name;
   std::uint32_t type = 25;  // object id of its data type; 25: text
 };
+// int8, int2, int4, oid, float4, float8: their text is a JSON number, but for NaN and infinities.
+inline bool number_type(std::uint32_t type) {
+  return type == 20 || type == 21 || type == 23 || type == 26 || type == 700 || type == 701;
+}
 using Value = std::optional<std::string_view>;  // none: NULL
 void put_authentication_ok(std::string& out);
 void put_parameter(std::string& out, std::string_view name, std::string_view value);
