--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -19,6 +19,7 @@
 #include <sstream>
 
 #include "daemon/config.hpp"
+#include "daemon/graphql.hpp"
 #include "daemon/server.hpp"
 #include "fleet/list.hpp"
 #include "rehearsal/audit.hpp"
@@ -226,6 +227,14 @@
   auto* check = config->add_subcommand("check", "Check a file and print the settings in force");
   check->add_option("file", config_file, "YAML file")->required();
 
+  auto* schema = app.add_subcommand("schema", "GraphQL schemas");
+  schema->require_subcommand(1);
+  std::string schema_file;
+  auto* schema_check =
+      schema->add_subcommand("check", "Check a schema with its statements, and print what it binds");
+  schema_check->add_option("file", schema_file, "Schema file; else the configuration's");
+  schema_check->add_option("--config", config_file, "YAML file, for the classes' names")->required();
+
   auto* list = app.add_subcommand("list", "A stand-in engine list, served as Consul's health API");
   std::string file, folder, ports;
   std::uint16_t list_port = 0;
@@ -280,9 +289,17 @@
     if (*load) return run_load(file, ports, start, record);
     if (*day_run) return run_day(file, folder);
     if (*auditing) return audit_day(folder);
+    if (*schema_check) {
+      auto read = daemon::read_config(yaml::Section::file(config_file));
+      if (!schema_file.empty()) read.graphql.schema = schema_file, read.graphql.sdl.clear();
+      if (!read.graphql.served()) throw yaml::Error(config_file + ":1:1: graphql.schema: missing");
+      std::cout << daemon::load_schema(read)->summary();
+      return kDone;
+    }
     if (*check) {
       const auto read = daemon::read_config(yaml::Section::file(config_file));
       Gateway probe(read.module, 1);  // the module's own check of its settings
+      if (read.graphql.served()) (void)daemon::load_schema(read);
       std::cout << daemon::effective(read);
       return kDone;
     }
--- a/src/daemon/client.cpp
+++ b/src/daemon/client.cpp
@@ -9,6 +9,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
+#include "daemon/graphql.hpp"
+
 namespace heronwell::daemon {
 namespace {
 
@@ -91,6 +93,7 @@
     if (!exchange->done) {
       owed = true;
       if (exchange->ticket != 0) shard_.left(exchange);
+      if (exchange->asker) std::exchange(exchange->asker, nullptr)->abandoned();
     }
   if (owed || unwritable || out_.empty()) close();
 }
@@ -147,6 +150,8 @@
   if (target == "/healthz" && get)
     return whole(exchange, 200, "text/plain", shard_.stopping() ? "stopping\n" : "ok\n");
   router::Problem problem;
+  if (target == "/graphql" && shard_.graphql() != nullptr)
+    return serve_graphql(shard_, *shard_.graphql(), exchange, parser_, body_);
   if (target != "/v1/query") {
     problem.status = target == "/metrics" || target == "/healthz" ? 405 : 404;
     problem.detail = "POST /v1/query, GET /metrics and GET /healthz are served here";
@@ -160,7 +165,7 @@
   auto read = shard_.front().read(body_, parser_.find("heronwell-timeout-ms"));
   if (const auto* wrong = std::get_if<router::Problem>(&read)) return reject(exchange, *wrong);
   auto& query = std::get<router::Query>(read);
-  exchange->statement = std::make_shared<const std::string>(std::move(query.statement));
+  exchange->statement = std::make_shared<const sql::Statement>(sql::Statement{std::move(query.statement)});
   shard_.take(exchange, std::move(query.ask));
 }
 
@@ -298,12 +303,17 @@
 void ClientConnection::break_off() {
   const auto waiting = exchanges_;
   for (const auto& exchange : waiting)
-    if (!exchange->done && exchange->ticket != 0)
-      shard_.left(exchange);  // no answer can reach its client any more
+    if (!exchange->done) {  // no answer can reach its client any more
+      if (exchange->ticket != 0) shard_.left(exchange);
+      if (exchange->asker) std::exchange(exchange->asker, nullptr)->abandoned();
+    }
   close(true);
 }
 
-void ClientConnection::abandon() { close(true); }
+void ClientConnection::abandon() {
+  for (const auto& exchange : exchanges_) exchange->asker = nullptr;  // which refers to its exchange
+  close(true);
+}
 
 void ClientConnection::sweep(Time now) {
   const auto& listen = shard_.config().listen;
--- a/src/daemon/config.cpp
+++ b/src/daemon/config.cpp
@@ -4,6 +4,8 @@
 
 #include <iterator>
 
+#include "base/json.hpp"
+
 namespace heronwell::daemon {
 namespace {
 
@@ -78,6 +80,34 @@
   section.close();
 }
 
+void read_graphql(yaml::Section section, Config::Graphql& graphql) {
+  graphql.schema = section.string("schema", "");
+  graphql.sdl = section.string("sdl", "");
+  if (!graphql.schema.empty() && !graphql.sdl.empty())
+    section.fail("sdl", "expected a schema's file or its text");
+  graphql.timeout = positive(section, "timeout", 30s);
+  auto& limits = graphql.limits;
+  limits.bytes = section.size("document_bytes", limits.bytes);
+  limits.tokens = section.count("tokens", limits.tokens, 1, 10'000'000);
+  limits.depth = section.count("depth", limits.depth, 1, 200);
+  limits.fields = section.count("fields", limits.fields, 1, 1'000'000);
+  limits.aliases = section.count("aliases", limits.aliases, 0, 1'000'000);
+  limits.directives = section.count("directives", limits.directives, 0, 1'000'000);
+  limits.spread = section.count("spread", limits.spread, 1, 10'000'000);
+  auto& bounds = graphql.bounds;
+  bounds.parallel = section.count("parallel", bounds.parallel, 1, 1'000);
+  bounds.parents = section.count("parents", bounds.parents, 1, 1'000'000);
+  bounds.answer = section.size("answer", bounds.answer);
+  bounds.errors = section.count("errors", bounds.errors, 1, 100'000);
+  graphql.batch = section.count("batch", 0, 0, 1'000);
+  graphql.documents = section.size("documents", 32 << 20);
+  graphql.key_window = positive(section, "key_window", 10min);
+  graphql.keys = section.count("keys", 100'000, 1, 10'000'000);
+  graphql.key_bytes = section.size("key_bytes", 64 << 20);
+  graphql.page = section.boolean("page", true);
+  section.close();
+}
+
 }  // namespace
 
 Config read_config(yaml::Section file) {
@@ -93,6 +123,7 @@
   read_listen(file.section("listen"), config.listen);
   read_engines(file.section("engines"), config.engines);
   read_list(file.section("list"), config.list);
+  read_graphql(file.section("graphql"), config.graphql);
   auto peers = file.section("peers");
   if (peers.has("port")) {
     config.peers.at = read_address(peers);
@@ -158,6 +189,25 @@
     for (const auto& [number, at] : c.peers.members)
       fmt::format_to(to, "    - {{number: {}, host: {}, port: {}}}\n", number, at.host, at.port);
   }
+  if (c.graphql.served()) {
+    const auto& g = c.graphql;
+    fmt::format_to(to,
+                   "graphql:\n  timeout: {}\n  document_bytes: {}\n  tokens: {}\n  depth: {}\n  fields: {}\n "
+                   " aliases: {}\n"
+                   "  directives: {}\n  spread: {}\n  parallel: {}\n  parents: {}\n  answer: {}\n  errors: "
+                   "{}\n  batch: {}\n"
+                   "  documents: {}\n  key_window: {}\n  keys: {}\n  key_bytes: {}\n  page: {}\n",
+                   d(g.timeout), b(g.limits.bytes), g.limits.tokens, g.limits.depth, g.limits.fields,
+                   g.limits.aliases, g.limits.directives, g.limits.spread, g.bounds.parallel,
+                   g.bounds.parents, b(g.bounds.answer), g.bounds.errors, g.batch, b(g.documents),
+                   d(g.key_window), g.keys, b(g.key_bytes), g.page);
+    if (!g.schema.empty()) fmt::format_to(to, "  schema: {}\n", g.schema);
+    if (!g.sdl.empty()) {
+      out += "  sdl: ";
+      put_json_text(out, g.sdl);
+      out += "\n";
+    }
+  }
   fmt::format_to(to, "log:\n  file: \"{}\"\n  level: {}\n  requests: {}\n", c.log.file, c.log.level,
                  c.log.requests);
   return out + router::effective(c.module, c.names);
--- a/src/daemon/config.hpp
+++ b/src/daemon/config.hpp
@@ -9,6 +9,7 @@
 
 #include "base/time.hpp"
 #include "base/yaml.hpp"
+#include "graphql/execute.hpp"
 #include "heronwell/gateway.hpp"
 #include "http/message.hpp"
 #include "router/settings.hpp"
@@ -61,6 +62,19 @@
     std::vector<std::pair<std::uint32_t, Address>> members;
   } peers;
 
+  struct Graphql {
+    std::string schema, sdl;  // a file, or the text itself; both empty: /graphql is not served
+    Time timeout{};           // of a request that names none
+    graphql::Limits limits;
+    graphql::Bounds bounds;
+    std::size_t batch = 0;      // operations in one request; 0: no batches
+    std::size_t documents = 0;  // bytes of documents kept parsed
+    Time key_window{};
+    std::size_t keys = 0, key_bytes = 0;
+    bool page = true;
+    [[nodiscard]] bool served() const { return !schema.empty() || !sdl.empty(); }
+  } graphql;
+
   struct Log {
     std::string file;      // empty: standard error
     std::string level;     // of spdlog
--- a/src/daemon/engine.cpp
+++ b/src/daemon/engine.cpp
@@ -238,25 +238,47 @@
 
 // ---- the answer ----------------------------------------------------------------------------------------
 void EngineConnection::on_columns(const std::vector<sql::Column>& columns) {
-  if (attempt_ && !attempt_->stopped) attempt_->rows.columns(attempt_->content.json, columns);
+  if (!attempt_ || attempt_->stopped) return;
+  if (auto& table = attempt_->content.table)
+    table->columns = columns;
+  else
+    attempt_->rows.columns(attempt_->content.json, columns);
 }
 
 void EngineConnection::on_row(sql::RowReader row) {
   if (!attempt_ || attempt_->stopped || malformed_) return;
-  if (!attempt_->rows.row(attempt_->content.json, row)) {
+  auto& table = attempt_->content.table;
+  if (table ? !table->add(row) : !attempt_->rows.row(attempt_->content.json, row)) {
     malformed_ = true;
     session_.give_up();
   }
+  if (table && table->bytes() > attempt_->exchange->most_bytes) return too_long();
   if (attempt_->content.json.size() >= shard_.config().listen.hold) pause_if_full();
 }
 
 void EngineConnection::on_complete(std::string_view tag) {
-  if (attempt_ && !attempt_->stopped) attempt_->rows.complete(attempt_->content.json, tag);
+  if (!attempt_ || attempt_->stopped) return;
+  if (auto& table = attempt_->content.table)
+    table->command = tag;
+  else
+    attempt_->rows.complete(attempt_->content.json, tag);
+}
+
+// More rows than whoever asked can take: told as the statement's own fault, and the engine is told to stop.
+void EngineConnection::too_long() {
+  const auto attempt = attempt_;
+  attempt->content.table = nullptr;
+  attempt->content.too_long = true;
+  attempt->content.sqlstate = "54000";
+  attempt->content.error = "the rows are more than is taken here";
+  attempt->stopped = true;
+  shard_.end_attempt(attempt, sql::Seen::statement_error, "54000");
+  stop(attempt);
 }
 
 void EngineConnection::on_error(const sql::ErrorText& error) {
   error_code_ = error.code;
-  if (!attempt_) return;
+  if (!attempt_ || attempt_->reported) return;
   attempt_->content.sqlstate = error.code;
   attempt_->content.error = error.message;
 }
@@ -272,7 +294,8 @@
 void EngineConnection::on_statement_end() {
   const bool cancelling = state_ == Link::cancelling;
   shard_.metrics().settings_refused->Increment(session_.settings_refused());
-  if (attempt_ && !attempt_->stopped && error_code_.empty()) attempt_->rows.finish(attempt_->content.json);
+  if (attempt_ && !attempt_->stopped && error_code_.empty() && !attempt_->content.table)
+    attempt_->rows.finish(attempt_->content.json);
   forward();
   // What came whole, cancelled or not, counts: the answer was on its way already.
   auto* pool = shard_.pool(engine_);
--- a/src/daemon/engine.hpp
+++ b/src/daemon/engine.hpp
@@ -41,6 +41,7 @@
   void limit(Time after);  // one timer: for the dial, then for the end after a cancel
   void forward();
   void pause_if_full();
+  void too_long();
   void resume();
 
   void on_columns(const std::vector<sql::Column>& columns) override;
--- /dev/null
+++ b/src/daemon/graphql.cpp
@@ -0,0 +1,437 @@
+#include "daemon/graphql.hpp"
+
+#include <fmt/format.h>
+#include <sodium.h>
+#include <spdlog/spdlog.h>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <fstream>
+#include <iterator>
+
+#include "daemon/client.hpp"
+#include "daemon/page.hpp"
+
+namespace heronwell::daemon {
+namespace {
+
+using namespace std::chrono_literals;
+constexpr Time kReserve = 5ms;  // of a deadline, to write the response; at most a twentieth of it
+constexpr std::size_t kMostKey = 255;
+
+std::string error_body(const std::string& message, std::string_view code) {
+  return graphql::request_errors({{"", message, {}}}, code);
+}
+std::string drawn_key() {
+  std::array<unsigned char, 16> bytes{};
+  randombytes_buf(bytes.data(), bytes.size());
+  std::string out;
+  for (const auto byte : bytes) out += fmt::format("{:02x}", byte);
+  return out;
+}
+// The header field holds a structured string, "…"; a bare one is taken too.
+std::string key_of(std::string_view field) {
+  if (field.size() >= 2 && field.front() == '"' && field.back() == '"')
+    field = field.substr(1, field.size() - 2);
+  return std::string(field);
+}
+
+const graphql::Definition* chosen(const graphql::Document& document, std::string_view name,
+                                  std::string& wrong) {
+  const graphql::Definition* found = nullptr;
+  for (const auto& d : document.definitions) {
+    if (d.kind == graphql::DefinitionKind::fragment || !d.executable()) continue;
+    if (name.empty() && found != nullptr) {
+      wrong = "\"operationName\" is missing, and the document has several operations";
+      return nullptr;
+    }
+    if (name.empty() || d.name == name) found = &d;
+  }
+  if (found == nullptr) wrong = fmt::format("the document has no operation \"{}\"", name);
+  return found;
+}
+
+}  // namespace
+
+std::unique_ptr<graphql::Bound> load_schema(const Config& config) {
+  auto text = config.graphql.sdl;
+  const auto name = text.empty() ? config.graphql.schema : std::string("graphql.sdl");
+  if (text.empty()) {
+    std::ifstream file(name, std::ios::binary);
+    text.assign(std::istreambuf_iterator<char>(file), {});
+    if (!file) throw yaml::Error(name + ":1:1: cannot be read");
+  }
+  std::vector<graphql::ClassFacts> classes;
+  for (const auto& one : config.module.classes)
+    classes.push_back({one.name, one.effect == Effect::safe,
+                       one.effect == Effect::keyed && one.group == RepeatGroup::all, one.aim});
+  try {
+    return std::make_unique<graphql::Bound>(text, std::move(classes));
+  } catch (const graphql::SchemaError& error) {
+    std::string all;
+    std::istringstream lines(error.what());
+    for (std::string line; std::getline(lines, line);) all += (all.empty() ? "" : "\n") + name + ":" + line;
+    throw yaml::Error(all);
+  }
+}
+
+Graphql::Graphql(const Config& config)
+    : config_(config.graphql),
+      tenants_(router::tenant_names(config.module)),
+      bound_(load_schema(config)),
+      documents_(std::make_unique<graphql::Documents>(bound_->schema(), config.graphql.limits,
+                                                      config.graphql.documents)),
+      keys_(config.graphql.key_window, config.graphql.keys, config.graphql.key_bytes) {
+  if (sodium_init() < 0) throw std::runtime_error("libsodium can't start");
+  headers_ = bound_->headers();
+  headers_.emplace_back("idempotency-key");
+}
+
+std::optional<std::uint32_t> Graphql::tenant(std::string_view name) const {
+  const auto found = std::ranges::find(tenants_, name);
+  if (found == tenants_.end()) return std::nullopt;
+  return static_cast<std::uint32_t>(found - tenants_.begin());
+}
+
+graphql::Keys::Found Graphql::key_begin(const std::string& key, std::uint64_t fingerprint) {
+  const std::lock_guard lock(mutex_);
+  return keys_.begin(steady_now(), key, fingerprint);
+}
+void Graphql::key_done(const std::string& key, std::string answer) {
+  const std::lock_guard lock(mutex_);
+  keys_.done(steady_now(), key, std::move(answer));
+}
+void Graphql::key_forget(const std::string& key) {
+  const std::lock_guard lock(mutex_);
+  keys_.forget(key);
+}
+
+// ---- one request ---------------------------------------------------------------------------------------
+GraphqlRequest::GraphqlRequest(Shard& shard, Graphql& graphql, ExchangePtr client, graphql::HttpAsk ask,
+                               Headers headers, Time timeout)
+    : shard_(shard),
+      graphql_(graphql),
+      client_(std::move(client)),
+      ask_(std::move(ask)),
+      headers_(std::move(headers)),
+      deadline_(client_->began + timeout - std::min<Time>(kReserve, timeout / 20)) {}
+GraphqlRequest::~GraphqlRequest() = default;
+
+void GraphqlRequest::start() {
+  client_->asker = shared_from_this();
+  shard_.metrics().graphql_open->Increment();
+  slots_.resize(ask_.operations.size());
+  for (std::size_t i = 0; i < slots_.size(); ++i) begin(slots_[i], i, ask_.operations[i]);
+  turn();
+}
+
+void GraphqlRequest::reject(Slot& slot, const std::string& message, std::string_view code,
+                            std::string_view rule) {
+  slot.response = graphql::request_errors({{std::string(rule), message, {}}}, code);
+}
+
+void GraphqlRequest::begin(Slot& slot, std::size_t number, const graphql::Operation& operation) {
+  auto& documents = graphql_.documents();
+  auto text = operation.query;
+  if (!operation.sha256.empty()) {
+    if (text.empty()) {
+      const auto known = documents.persisted(operation.sha256);
+      if (!known) return reject(slot, "PersistedQueryNotFound", "PERSISTED_QUERY_NOT_FOUND");
+      text = *known;
+    } else if (graphql::sha256_hex(text) != operation.sha256) {
+      return reject(slot, "the document is not the one of this SHA-256", "PERSISTED_QUERY_MISMATCH");
+    }
+  }
+  slot.prepared = documents.get(text);
+  const auto& prepared = *slot.prepared;
+  if (!prepared.errors.empty()) {
+    const bool parsed = !prepared.errors.front().rule.empty();
+    slot.response = graphql::request_errors(prepared.errors,
+                                            parsed ? "GRAPHQL_VALIDATION_FAILED" : "GRAPHQL_PARSE_FAILED");
+    return;
+  }
+  if (!operation.sha256.empty()) documents.persist(operation.sha256, text);
+  std::string wrong;
+  const auto* definition = chosen(prepared.document, operation.operation_name, wrong);
+  if (definition == nullptr) return reject(slot, wrong, "OPERATION_RESOLUTION_FAILURE");
+  const bool mutation = definition->kind == graphql::DefinitionKind::mutation;
+  if (mutation && ask_.get) {
+    status_ = 405;
+    return reject(slot, "a mutation is sent by POST", "BAD_REQUEST");
+  }
+  if (mutation && ask_.batch) return reject(slot, "a mutation can't stand in a batch", "BAD_REQUEST");
+  auto variables = graphql::coerce_variables(graphql_.bound().schema(), prepared.document, *definition,
+                                             operation.variables);
+  if (!variables.errors.empty()) {
+    slot.response = graphql::request_errors(variables.errors, "BAD_USER_INPUT");
+    return;
+  }
+  graphql::Asked asked;
+  asked.variables = std::move(variables.values);
+  asked.deadline = deadline_;
+  asked.header = [this](std::string_view name) -> std::optional<std::string> {
+    const auto found = headers_.find(name);
+    return found == headers_.end() ? std::nullopt : std::optional(found->second);
+  };
+  asked.tenant = [this](std::string_view name) { return graphql_.tenant(name); };
+  asked.hash = [](const std::string& value) { return XXH64(value.data(), value.size(), 0); };
+  if (mutation) {
+    if (!take_key(slot, operation, *definition)) return;
+    asked.idempotency_key = slot.key.empty() ? drawn_key() : slot.key;
+  }
+  slot.executed = true;
+  slot.execution = std::make_unique<graphql::Execution>(graphql_.bound(), prepared.document, *definition,
+                                                        std::move(asked), graphql_.config().bounds);
+  std::vector<graphql::Call> out;
+  slot.execution->start(steady_now(), out);
+  for (auto& call : out) calls_.emplace_back(number, std::move(call));
+}
+
+// False: answered already, or it may not run.
+bool GraphqlRequest::take_key(Slot& slot, const graphql::Operation& operation,
+                              const graphql::Definition& definition) {
+  const auto field = headers_.find("idempotency-key");
+  if (field == headers_.end()) return true;
+  const auto key = key_of(field->second);
+  if (key.empty() || key.size() > kMostKey) {
+    status_ = 400;
+    reject(slot, fmt::format("idempotency-key: expected from 1 to {} bytes", kMostKey), "BAD_REQUEST");
+    return false;
+  }
+  // Keyed classes of engines that all drop each other's repeats: what may have run may be sent again.
+  slot.repeatable = true;
+  const auto& bound = graphql_.bound();
+  for (const auto& s : definition.selections) {
+    const auto* of = s.kind == graphql::SelectionKind::field
+                         ? bound.schema().field(*bound.schema().root(definition.kind), s.name)
+                         : nullptr;
+    const auto* binding = of == nullptr ? nullptr : bound.binding(*of);
+    slot.repeatable = slot.repeatable && binding != nullptr && bound.cls(*binding).keyed;
+  }
+  std::string asked = operation.operation_name + '\n' + operation.query + operation.sha256 + '\n';
+  graphql::put_json(asked, operation.variables);
+  using State = graphql::Keys::State;
+  auto found = graphql_.key_begin(key, XXH64(asked.data(), asked.size(), 0));
+  switch (found.state) {
+    case State::fresh:
+      slot.key = key;
+      return true;
+    case State::known:
+      slot.executed = true;
+      slot.response = std::move(found.answer);
+      return false;
+    case State::in_progress:
+      status_ = 409;
+      reject(slot, "a request with this idempotency key is not answered yet", "IDEMPOTENCY_KEY_IN_USE");
+      return false;
+    case State::mismatch:
+      status_ = 422;
+      reject(slot, "this idempotency key was used for another request", "IDEMPOTENCY_KEY_REUSED");
+      return false;
+    case State::full:
+      status_ = 503;
+      pause_ = std::max(pause_, Time(1s));
+      reject(slot, "no more idempotency keys can be remembered just now; nothing was run",
+             "STATEMENT_REFUSED");
+      return false;
+  }
+  return false;
+}
+
+// Sends what is to be sent and takes in what has ended, until nothing is left to do at once. Calls from below
+// while it runs only leave their word.
+void GraphqlRequest::turn() {
+  if (turning_ || over_) return;
+  turning_ = true;
+  const auto self = shared_from_this();
+  while (!over_ && (!calls_.empty() || !ended_.empty())) {
+    for (auto& [slot, call] : std::exchange(calls_, {})) send(slot, std::move(call));
+    for (auto& one : std::exchange(ended_, {})) {
+      std::vector<graphql::Call> out;
+      slots_[one.slot].execution->ended(steady_now(), one.call, std::move(one.reply), out);
+      for (auto& call : out) calls_.emplace_back(one.slot, std::move(call));
+    }
+  }
+  turning_ = false;
+  for (auto& slot : slots_)
+    if (!slot.done() && slot.execution->done()) settle(slot);
+  if (std::ranges::all_of(slots_, &Slot::done)) answer();
+}
+
+void GraphqlRequest::send(std::size_t slot, graphql::Call call) {
+  auto exchange = std::make_shared<Exchange>();
+  const auto number = numbers_++;
+  exchange->asker = shared_from_this();
+  exchange->call = call.id << 16 | slot;
+  exchange->statement_number = number;
+  exchange->began = steady_now();
+  exchange->most_bytes = std::max<std::size_t>(1, call.most_bytes);
+  exchange->statement = std::make_shared<const sql::Statement>(
+      sql::Statement{std::string(call.statement), true, std::move(call.parameters)});
+  router::Ask ask;
+  ask.asked.cls = call.cls;
+  ask.asked.tenant = call.tenant;
+  ask.asked.order_key = call.order_key;
+  ask.asked.data_group = call.data_group;
+  ask.asked.cost = call.cost;
+  ask.asked.memory_mb = call.memory_mb;
+  ask.asked.time_left =
+      std::min(call.deadline - exchange->began, shard_.config().module.classes[call.cls].give_up);
+  open_.emplace(number, exchange);
+  shard_.metrics().graphql_statements->Increment();
+  shard_.take(exchange, ask);
+}
+
+void GraphqlRequest::ended(const ExchangePtr& exchange, graphql::Reply reply) {
+  if (over_ || open_.erase(exchange->statement_number) == 0) return;
+  ended_.push_back({exchange->call & 0xffff, exchange->call >> 16, std::move(reply)});
+  turn();
+}
+
+void GraphqlRequest::served(const ExchangePtr& exchange, Content content) {
+  graphql::Reply reply;
+  if (content.sqlstate.empty()) {
+    reply.table = std::move(content.table);
+    return ended(exchange, std::move(reply));
+  }
+  const auto& cls = shard_.config().module.classes[exchange->cls];
+  const bool safe = cls.effect == Effect::safe;
+  auto& trouble = reply.trouble.emplace();
+  trouble.code = content.too_long ? (safe ? "ANSWER_TOO_LARGE" : "OUTCOME_UNKNOWN") : "STATEMENT_ERROR";
+  trouble.outcome = "served";
+  trouble.message = content.error;
+  trouble.sqlstate = content.sqlstate;
+  trouble.retry_harmless = safe;
+  trouble.may_have_run = content.too_long && !safe;
+  trouble.attempts = exchange->attempts;
+  ended(exchange, std::move(reply));
+}
+
+void GraphqlRequest::unserved(const ExchangePtr& exchange, const router::Problem& problem) {
+  graphql::Reply reply;
+  auto& trouble = reply.trouble.emplace();
+  const auto& cls = shard_.config().module.classes[exchange->cls];
+  const bool safe = cls.effect == Effect::safe;
+  const bool unknown = !safe && !problem.retry_harmless;
+  trouble.code = unknown                        ? "OUTCOME_UNKNOWN"
+                 : problem.outcome == "refused" ? "STATEMENT_REFUSED"
+                                                : "STATEMENT_FAILED";
+  trouble.outcome = problem.outcome;
+  trouble.message = problem.detail;
+  trouble.retry_harmless = safe || !unknown;
+  trouble.may_have_run = unknown;
+  trouble.pause = problem.pause;
+  trouble.attempts = problem.attempts;
+  if (unknown && cls.effect == Effect::keyed && cls.group == RepeatGroup::all &&
+      headers_.contains("idempotency-key"))
+    trouble.retry_harmless = true;  // with the same key, within the window
+  pause_ = std::max(pause_, problem.pause);
+  ended(exchange, std::move(reply));
+}
+
+void GraphqlRequest::settle(Slot& slot) {
+  slot.response = slot.execution->response();
+  if (!slot.key.empty()) {
+    const bool unknown = slot.execution->any_unknown();
+    if (!slot.execution->any_effect() || (unknown && slot.repeatable))
+      graphql_.key_forget(slot.key);
+    else
+      graphql_.key_done(slot.key, slot.response);
+    slot.key.clear();
+  }
+  slot.execution = nullptr;
+}
+
+void GraphqlRequest::answer() {
+  over_ = true;
+  std::string body;
+  bool executed = true, errors = false;
+  for (const auto& slot : slots_) {
+    executed = executed && slot.executed;
+    errors = errors || slot.response.find("\"errors\":[") != std::string::npos;
+    body += body.empty() ? (ask_.batch ? "[" : "") : ",";
+    body += slot.response;
+  }
+  if (ask_.batch) body += "]";
+  const int status = status_ != 0 ? status_
+                     : ask_.batch ? 200
+                                  : graphql::http_status(ask_.media, executed, false);
+  auto& metrics = shard_.metrics();
+  (!executed ? metrics.graphql_rejected
+   : errors  ? metrics.graphql_errors
+             : metrics.graphql_served)
+      ->Increment();
+  const auto& log = shard_.config().log.requests;
+  if (log == "all" || (log == "problems" && errors))
+    spdlog::info(R"({{"event":"graphql","gateway":{},"status":{},"ms":{:.3f},"statements":{},"errors":{}}})",
+                 quoted(shard_.config().name), status, milliseconds(steady_now() - client_->began), numbers_,
+                 errors);
+  std::vector<http::Field> more;
+  const auto pause = std::to_string(router::retry_after_seconds(pause_));
+  if (pause_ > Time::zero()) more.push_back({"retry-after", pause});
+  if (status == 405) more.push_back({"allow", "POST"});
+  const auto client = std::exchange(client_, nullptr);
+  client->asker = nullptr;
+  shard_.metrics().graphql_open->Decrement();
+  client->client->whole(client, status, graphql::media_type(ask_.media), std::move(body), more);
+}
+
+void GraphqlRequest::abandoned() {
+  if (std::exchange(over_, true)) return;
+  shard_.metrics().graphql_left->Increment();
+  shard_.metrics().graphql_open->Decrement();
+  for (auto& slot : slots_) {
+    if (slot.key.empty()) continue;
+    // Its statements may run on: what its key stands for is not known, unless the engines drop repeats.
+    if (slot.repeatable)
+      graphql_.key_forget(slot.key);
+    else
+      graphql_.key_done(slot.key,
+                        R"({"data":null,"errors":[{"message":"its client left before it was answered; )"
+                        R"(it may have run","extensions":{"code":"OUTCOME_UNKNOWN","outcome":"failed",)"
+                        R"("retryHarmless":false}}]})");
+  }
+  for (const auto& [number, exchange] : std::exchange(open_, {})) shard_.left(exchange);
+  client_ = nullptr;
+}
+
+void serve_graphql(Shard& shard, Graphql& graphql, const ExchangePtr& exchange, const http::Parser& request,
+                   std::string_view body) {
+  graphql::HttpRequest http;
+  http.method = request.method();
+  http.target = request.target();
+  http.body = body;
+  http.header = [&](std::string_view name) { return request.find(name); };
+  auto read = graphql::read_http(http, graphql.config().batch, graphql.config().page);
+  auto& client = *exchange->client;
+  if (std::holds_alternative<graphql::HttpPage>(read))
+    return client.whole(exchange, 200, "text/html; charset=utf-8", std::string(kQueryPage));
+  const auto wrong = [&](const graphql::HttpWrong& why) {
+    shard.metrics().graphql_rejected->Increment();
+    std::vector<http::Field> more;
+    if (!why.allow.empty()) more.push_back({"allow", why.allow});
+    client.whole(exchange, why.status, graphql::media_type(why.media), error_body(why.message, "BAD_REQUEST"),
+                 more);
+  };
+  if (const auto* why = std::get_if<graphql::HttpWrong>(&read)) return wrong(*why);
+  auto& ask = std::get<graphql::HttpAsk>(read);
+  if (shard.stopping()) return wrong({503, ask.media, "this router is stopping", {}});
+  auto timeout = graphql.config().timeout;
+  if (const auto field = request.find("heronwell-timeout-ms")) {
+    std::int64_t ms = 0;
+    const auto [end, error] = std::from_chars(field->data(), field->data() + field->size(), ms);
+    if (error != std::errc{} || end != field->data() + field->size() || ms < 1)
+      return wrong(
+          {400, ask.media, "heronwell-timeout-ms: expected a whole number of milliseconds from 1", {}});
+    if (ms < timeout / 1ms) timeout = std::chrono::milliseconds(ms);
+  }
+  GraphqlRequest::Headers headers;
+  for (const auto& name : graphql.headers())
+    if (const auto field = request.find(name)) headers.emplace(name, *field);
+  std::make_shared<GraphqlRequest>(shard, graphql, exchange, std::move(ask), std::move(headers), timeout)
+      ->start();
+}
+
+}  // namespace heronwell::daemon
--- /dev/null
+++ b/src/daemon/graphql.hpp
@@ -0,0 +1,104 @@
+// /graphql: one request of a client becomes statements, each a request of its own to the module; their
+// answers become one response. What is decided here is what GraphQL asks for; when, where and whether a
+// statement runs is the module's alone.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "daemon/shard.hpp"
+#include "graphql/documents.hpp"
+#include "graphql/execute.hpp"
+#include "graphql/keys.hpp"
+#include "graphql/over_http.hpp"
+
+namespace heronwell::daemon {
+
+// What all shards share.
+class Graphql {
+ public:
+  // Throws yaml::Error, "FILE:LINE:COLUMN: what" a line, where the schema is wrong.
+  explicit Graphql(const Config& config);
+
+  [[nodiscard]] const Config::Graphql& config() const { return config_; }
+  [[nodiscard]] const graphql::Bound& bound() const { return *bound_; }
+  graphql::Documents& documents() { return *documents_; }
+  [[nodiscard]] std::optional<std::uint32_t> tenant(std::string_view name) const;
+  [[nodiscard]] const std::vector<std::string>& headers() const {
+    return headers_;
+  }  // to be kept of a request
+
+  graphql::Keys::Found key_begin(const std::string& key, std::uint64_t fingerprint);
+  void key_done(const std::string& key, std::string answer);
+  void key_forget(const std::string& key);
+
+ private:
+  const Config::Graphql& config_;
+  std::vector<std::string> tenants_, headers_;
+  std::unique_ptr<graphql::Bound> bound_;
+  std::unique_ptr<graphql::Documents> documents_;
+  std::mutex mutex_;
+  graphql::Keys keys_;
+};
+
+// Reads the schema that the configuration names. Throws yaml::Error.
+std::unique_ptr<graphql::Bound> load_schema(const Config& config);
+
+class GraphqlRequest final : public Asker, public std::enable_shared_from_this<GraphqlRequest> {
+ public:
+  using Headers = std::map<std::string, std::string, std::less<>>;
+  GraphqlRequest(Shard& shard, Graphql& graphql, ExchangePtr client, graphql::HttpAsk ask, Headers headers,
+                 Time timeout);
+  ~GraphqlRequest() override;
+
+  void start();
+  void served(const ExchangePtr& exchange, Content content) override;
+  void unserved(const ExchangePtr& exchange, const router::Problem& problem) override;
+  void abandoned() override;
+
+ private:
+  struct Slot {  // one operation of the request
+    std::shared_ptr<const graphql::Prepared> prepared;
+    std::unique_ptr<graphql::Execution> execution;
+    std::string response, key;  // key: taken in Keys
+    bool executed = false, repeatable = false;
+    bool done() const { return !response.empty(); }
+  };
+  struct Ended {
+    std::size_t slot = 0, call = 0;
+    graphql::Reply reply;
+  };
+
+  void begin(Slot& slot, std::size_t number, const graphql::Operation& operation);
+  bool take_key(Slot& slot, const graphql::Operation& operation, const graphql::Definition& definition);
+  void reject(Slot& slot, const std::string& message, std::string_view code, std::string_view rule = {});
+  void turn();
+  void send(std::size_t slot, graphql::Call call);
+  void settle(Slot& slot);
+  void answer();
+  void ended(const ExchangePtr& exchange, graphql::Reply reply);
+
+  Shard& shard_;
+  Graphql& graphql_;
+  ExchangePtr client_;
+  graphql::HttpAsk ask_;
+  Headers headers_;
+  Time deadline_;
+  std::vector<Slot> slots_;
+  std::vector<std::pair<std::size_t, graphql::Call>> calls_;
+  std::vector<Ended> ended_;
+  std::map<std::size_t, ExchangePtr> open_;  // statements out, by number
+  std::size_t numbers_ = 0;
+  int status_ = 0;  // other than the media type's; 0: none
+  Time pause_{};
+  bool turning_ = false, over_ = false;
+};
+
+// Answers a request for /graphql, or has it answered.
+void serve_graphql(Shard& shard, Graphql& graphql, const ExchangePtr& exchange, const http::Parser& request,
+                   std::string_view body);
+
+}  // namespace heronwell::daemon
--- a/src/daemon/metrics.cpp
+++ b/src/daemon/metrics.cpp
@@ -55,6 +55,17 @@
   peers_forged = counter("heronwell_peer_messages_forged_total", "Messages whose MAC is wrong");
   peers_replayed = counter("heronwell_peer_messages_replayed_total", "Messages that came before");
   peers_malformed = counter("heronwell_peer_messages_malformed_total", "Datagrams that are no message");
+  auto& graphql = BuildCounter()
+                      .Name("heronwell_graphql_requests_total")
+                      .Help("GraphQL requests by end")
+                      .Register(registry_);
+  graphql_served = &graphql.Add({{"outcome", "served"}});
+  graphql_errors = &graphql.Add({{"outcome", "with_errors"}});
+  graphql_rejected = &graphql.Add({{"outcome", "rejected"}});
+  graphql_left = &graphql.Add({{"outcome", "left"}});
+  graphql_statements =
+      counter("heronwell_graphql_statements_total", "Statements that GraphQL requests became");
+  graphql_open = gauge("heronwell_graphql_open", "GraphQL requests without a response");
   open = gauge("heronwell_requests_open", "Requests without a final answer");
   pool = gauge("heronwell_pool_threads", "The module's pool");
   clients = gauge("heronwell_connections", "Client connections");
--- a/src/daemon/metrics.hpp
+++ b/src/daemon/metrics.hpp
@@ -28,7 +28,8 @@
       *settings_refused;
   prometheus::Counter *list_updates, *list_failures, *list_refused;
   prometheus::Counter *peers_sent, *peers_taken, *peers_forged, *peers_replayed, *peers_malformed;
-  prometheus::Gauge *open, *pool, *clients, *engine_connections, *engines_ready, *decision_lag;
+  prometheus::Counter *graphql_served, *graphql_errors, *graphql_rejected, *graphql_left, *graphql_statements;
+  prometheus::Gauge *graphql_open, *open, *pool, *clients, *engine_connections, *engines_ready, *decision_lag;
 
   [[nodiscard]] std::string text() const;
 
--- a/src/daemon/server.cpp
+++ b/src/daemon/server.cpp
@@ -10,6 +10,7 @@
 #include <thread>
 
 #include "daemon/decisions.hpp"
+#include "daemon/graphql.hpp"
 
 namespace heronwell::daemon {
 namespace {
@@ -39,7 +40,11 @@
       shards.push_back(std::make_unique<Shard>(config, metrics, front, i, config.threads));
     auto& first = shards.front()->context();
     decisions = std::make_unique<Decisions>(first, config, metrics, config.seed.value_or(drawn_seed()));
-    for (auto& shard : shards) shard->bind(decisions->inbox());
+    if (config.graphql.served()) graphql.emplace(config);
+    for (auto& shard : shards) {
+      shard->bind(decisions->inbox());
+      if (graphql) shard->serve(*graphql);
+    }
     acceptor = std::make_unique<Acceptor>(first.get_executor());
     retry = std::make_unique<Timer>(first.get_executor());
     const asio::ip::tcp::endpoint at(asio::ip::make_address(config.listen.at.host), config.listen.at.port);
@@ -80,7 +85,7 @@
   }
 
   void await_end(Time until) {
-    if (metrics.open->Value() <= 0 || steady_now() >= until) {
+    if ((metrics.open->Value() <= 0 && metrics.graphql_open->Value() <= 0) || steady_now() >= until) {
       decisions->stop();
       for (auto& shard : shards) shard->context().stop();
       return;
@@ -92,6 +97,7 @@
   Config config;
   Metrics metrics;
   router::Front front;
+  std::optional<Graphql> graphql;
   std::vector<std::unique_ptr<Shard>> shards;
   std::unique_ptr<Decisions> decisions;
   std::unique_ptr<Acceptor> acceptor;
--- a/src/daemon/shard.cpp
+++ b/src/daemon/shard.cpp
@@ -108,17 +108,17 @@
   exchange->tenant = ask.asked.tenant;
   exchange->deadline = exchange->began + ask.asked.time_left;
   ask.asked.time_left = std::max(Time::zero(), exchange->deadline - steady_now());
-  if (stopping_ || exchanges_.size() >= std::max<std::size_t>(1, config_.module.max_open / config_.threads)) {
+  const bool turned_off = stopping_ && exchange->client;  // what was taken before goes on to its end
+  if (turned_off ||
+      exchanges_.size() >= std::max<std::size_t>(1, config_.module.max_open / config_.threads)) {
     router::Problem problem;
     problem.status = 503;
     problem.outcome = "refused";
-    problem.detail = stopping_ ? "this router is stopping" : "allow.max_open requests are open here";
+    problem.detail = turned_off ? "this router is stopping" : "allow.max_open requests are open here";
     problem.pause = config_.module.max_retry_after;
     metrics_.classes[exchange->cls].limited->Increment();
     finished(exchange, {'L', '-'}, problem.status);
-    const auto pause = std::to_string(router::retry_after_seconds(problem.pause));
-    return exchange->client->whole(exchange, problem.status, "application/problem+json",
-                                   router::problem_body(problem), {{"retry-after", pause}});
+    return tell_problem(exchange, problem);
   }
   exchange->ticket = static_cast<Ticket>(index_) << 56 | ++tickets_;
   ask.ticket = exchange->ticket;
@@ -211,6 +211,7 @@
                                    fmt::format("{:.0f}MB", std::max(1.0, order.terms->memory_mb)));
   if (order.terms && config_.module.priorities && !engines.priority_setting.empty())
     attempt->settings.emplace_back(engines.priority_setting, std::to_string(order.terms->priority));
+  if (attempt->exchange->most_bytes > 0) attempt->content.table = std::make_shared<sql::Table>();
   attempts_.emplace(std::pair(order.ticket, order.attempt), attempt);
   launch(attempt);
 }
@@ -219,7 +220,8 @@
   auto attempt = std::make_shared<Attempt>();
   attempt->engine = order.engine;
   attempt->until = steady_now() + config_.engines.probe_timeout;
-  attempt->statement = std::make_shared<const std::string>(config_.engines.probe_statement);
+  attempt->statement =
+      std::make_shared<const sql::Statement>(sql::Statement{config_.engines.probe_statement});
   launch(attempt);
   if (attempt->reported) return;
   auto timer = std::make_shared<Timer>(context_.get_executor(), at(attempt->until));
@@ -316,6 +318,7 @@
   }
   (error ? counts.error : counts.served)->Increment();
   finished(exchange, {error ? 'E' : 'S', 'A'}, error ? 422 : 200);
+  if (!exchange->client) return exchange->asker->served(exchange, std::move(content));
   if (!error) return exchange->client->whole(exchange, 200, "application/json", std::move(content.json));
   router::Problem problem;
   problem.status = 422;
@@ -323,8 +326,7 @@
   problem.sqlstate = content.sqlstate;
   problem.detail = content.error;
   problem.retry_harmless = config_.module.classes[exchange->cls].effect == Effect::safe;
-  exchange->client->whole(exchange, problem.status, "application/problem+json",
-                          router::problem_body(problem));
+  tell_problem(exchange, problem);
 }
 
 void Shard::on(const router::BeginStream& order) {
@@ -348,7 +350,7 @@
   problem.outcome = "failed";
   problem.detail = "the engine was lost in the middle of the answer";
   problem.retry_harmless = config_.module.classes[exchange->cls].effect == Effect::safe;
-  exchange->client->whole(exchange, 502, "application/problem+json", router::problem_body(problem));
+  tell_problem(exchange, problem);
 }
 
 void Shard::on(const router::Answer& order) {
@@ -364,9 +366,14 @@
       ->Increment();
   const char who = order.ending == Ending::refused ? 'R' : order.ending == Ending::failed ? 'F' : 'D';
   finished(exchange, {who, order.attempts > 0 ? 'A' : 'H'}, problem.status);
-  const auto pause = std::to_string(router::retry_after_seconds(order.pause));
+  tell_problem(exchange, problem);
+}
+
+void Shard::tell_problem(const ExchangePtr& exchange, const router::Problem& problem) {
+  if (!exchange->client) return exchange->asker->unserved(exchange, problem);
+  const auto pause = std::to_string(router::retry_after_seconds(problem.pause));
   std::vector<http::Field> more;
-  if (order.ending == Ending::refused && order.pause > Time::zero()) more.push_back({"retry-after", pause});
+  if (problem.outcome == "refused" && problem.pause > Time::zero()) more.push_back({"retry-after", pause});
   exchange->client->whole(exchange, problem.status, "application/problem+json", router::problem_body(problem),
                           more);
 }
--- a/src/daemon/shard.hpp
+++ b/src/daemon/shard.hpp
@@ -22,6 +22,8 @@
 #include "router/host.hpp"
 #include "router/rows.hpp"
 #include "sql/result.hpp"
+#include "sql/session.hpp"
+#include "sql/table.hpp"
 
 namespace heronwell::daemon {
 
@@ -88,19 +90,38 @@
 
 class ClientConnection;
 class EngineConnection;
+class Graphql;
 class Shard;
 
-// What came of one attempt, for the client: JSON, or the engine's own error.
+// What came of one attempt, for whoever asked: JSON or a table, or the engine's own error.
 struct Content {
   std::string json;
-  std::string sqlstate, error;  // not empty: the statement's own fault
+  std::shared_ptr<sql::Table> table;  // where the exchange wants one
+  std::string sqlstate, error;        // not empty: the statement's own fault
+  bool too_long = false;              // cut off here, past the exchange's most_bytes
+};
+
+struct Exchange;
+using ExchangePtr = std::shared_ptr<Exchange>;
+
+// Who asked, where that is not a client's connection: gets exactly one of these calls for each request that
+// it handed to take(), unless it gave it up by left() before.
+class Asker {
+ public:
+  virtual ~Asker() = default;
+  virtual void served(const ExchangePtr& exchange, Content content) = 0;  // also the statement's own fault
+  virtual void unserved(const ExchangePtr& exchange, const router::Problem& problem) = 0;
+  virtual void abandoned() = 0;  // its client has left
 };
 
 // A request of a client, from its last byte to the last byte of its answer.
 struct Exchange {
-  Ticket ticket = 0;  // 0: answered here, never taken
-  std::shared_ptr<ClientConnection> client;
-  std::shared_ptr<const std::string> statement;
+  Ticket ticket = 0;                         // 0: answered here, never taken
+  std::shared_ptr<ClientConnection> client;  // null: answered to the asker alone
+  std::shared_ptr<Asker> asker;              // beside a client: who makes its answer
+  std::shared_ptr<const sql::Statement> statement;
+  std::size_t most_bytes = 0;  // of the answer's rows, for an asker; 0: rows are wanted as JSON
+  std::size_t call = 0, statement_number = 0;  // the asker's own numbers
   ClassIndex cls = 0;
   std::uint32_t tenant = 0;
   Time began{}, deadline{};
@@ -113,15 +134,13 @@
   unsigned attempts = 0;
   EngineId engine = 0;  // of the last attempt
 };
-using ExchangePtr = std::shared_ptr<Exchange>;
-
 struct Attempt {
   Ticket ticket = 0;  // 0: a probe
   AttemptIndex number = 0;
   EngineId engine = 0;
   Time started{}, until{};
   ExchangePtr exchange;
-  std::shared_ptr<const std::string> statement;
+  std::shared_ptr<const sql::Statement> statement;
   std::vector<std::pair<std::string, std::string>> settings;
   bool stopped = false, reported = false;
   bool asked_to_stream = false, streaming = false;
@@ -151,6 +170,7 @@
   asio::io_context& context() { return context_; }
   Mailbox<Order, Executor>& orders() { return orders_; }
   void bind(Inbox& inbox) { inbox_ = &inbox; }
+  void serve(Graphql& graphql) { graphql_ = &graphql; }
 
   // On the shard's own thread:
   void serve(Socket socket);
@@ -170,6 +190,7 @@
   [[nodiscard]] const Config& config() const { return config_; }
   [[nodiscard]] const router::Front& front() const { return front_; }
   Metrics& metrics() { return metrics_; }
+  Graphql* graphql() { return graphql_; }  // null: not served
   EnginePool* pool(EngineId id);
   [[nodiscard]] std::size_t pool_cap() const { return pool_cap_; }
   [[nodiscard]] bool stopping() const { return stopping_; }
@@ -191,6 +212,7 @@
   void launch(const AttemptPtr& attempt);
   ExchangePtr exchange(Ticket ticket);
   void forget(const ExchangePtr& exchange);
+  void tell_problem(const ExchangePtr& exchange, const router::Problem& problem);
   void tick();
   void sweep();
 
@@ -202,6 +224,7 @@
   asio::io_context context_{1};
   Mailbox<Order, Executor> orders_;
   Inbox* inbox_ = nullptr;
+  Graphql* graphql_ = nullptr;
   Timer sweeper_;
   std::uint64_t tickets_ = 0;
   bool stopping_ = false;
--- a/src/graphql/binding.cpp
+++ b/src/graphql/binding.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <set>
 
 #include "base/yaml.hpp"
 
@@ -322,6 +323,24 @@
   const auto found = bindings_.find(&field);
   return found == bindings_.end() ? nullptr : &found->second;
 }
+std::string Bound::summary() const {
+  std::string out =
+      fmt::format("{:<28}{:<14}{:<12}{:>11}  {}\n", "field", "class", "group", "parameters", "batched by");
+  for (const auto& [name, type] : schema_.types())
+    for (const auto* field : type.fields)
+      if (const auto* one = binding(*field))
+        out += fmt::format("{:<28}{:<14}{:<12}{:>11}  {}\n", fmt::format("{}.{}", name, field->name),
+                           cls(*one).name,
+                           one->group.empty() ? "-" : fmt::format("{}", fmt::join(one->group, ".")),
+                           one->parameters.size(), one->batched() ? one->parent + " = " + one->by : "-");
+  return out;
+}
+std::vector<std::string> Bound::headers() const {
+  std::set<std::string> names;
+  for (const auto& [field, binding] : bindings_)
+    if (binding.tenant.kind == TenantSource::Kind::header) names.insert(binding.tenant.name);
+  return {names.begin(), names.end()};
+}
 std::string_view Bound::column(const FieldDefinition& field) const {
   const auto found = columns_.find(&field);
   return found == columns_.end() ? field.name : found->second;
--- a/src/graphql/binding.hpp
+++ b/src/graphql/binding.hpp
@@ -62,6 +62,8 @@
   [[nodiscard]] const Binding* binding(const FieldDefinition& field) const;
   [[nodiscard]] std::string_view column(const FieldDefinition& field) const;
   [[nodiscard]] const ClassFacts& cls(const Binding& binding) const { return classes_[binding.cls]; }
+  [[nodiscard]] std::vector<std::string> headers() const;  // that tenants are read from
+  [[nodiscard]] std::string summary() const;               // a line for each bound field, for people
   [[nodiscard]] std::size_t bindings() const { return bindings_.size(); }
 
  private:
--- a/src/graphql/execute.cpp
+++ b/src/graphql/execute.cpp
@@ -346,6 +346,7 @@
   const bool ran =
       part.table || (part.trouble && (part.trouble->may_have_run || part.trouble->outcome == "served"));
   if (mutation_ && !fetch->batched && ran) any_effect_ = true;
+  if (part.trouble && part.trouble->may_have_run) any_unknown_ = true;
   if (part.trouble) {
     any_trouble_ = true;
     if (mutation_ && !fetch->batched &&
--- a/src/graphql/execute.hpp
+++ b/src/graphql/execute.hpp
@@ -88,6 +88,8 @@
   [[nodiscard]] bool any_trouble() const { return any_trouble_; }
   // Of a mutation: whether any of its statements can have run.
   [[nodiscard]] bool any_effect() const { return any_effect_; }
+  // ... and of one of them it is not known whether it did.
+  [[nodiscard]] bool any_unknown() const { return any_unknown_; }
   [[nodiscard]] std::size_t calls() const { return fetch_of_.size(); }
 
  private:
@@ -136,7 +138,7 @@
   Collector collector_;
   std::unique_ptr<Level> root_;
   std::size_t next_root_ = 0;
-  bool mutation_, stopped_ = false, any_trouble_ = false, any_effect_ = false;
+  bool mutation_, stopped_ = false, any_trouble_ = false, any_effect_ = false, any_unknown_ = false;
   std::deque<Fetch> fetches_;
   std::vector<std::pair<Fetch*, std::size_t>> fetch_of_;  // by call: which, and which part of it
   std::deque<std::size_t> waiting_;                       // calls that may go out
--- a/src/rehearsal/demo.cpp
+++ b/src/rehearsal/demo.cpp
@@ -7,8 +7,10 @@
 #include <thread>
 #include <vector>
 
+#include "base/json.hpp"
 #include "rehearsal/engine.hpp"
 #include "rehearsal/list.hpp"
+#include "rehearsal/maps.hpp"
 
 namespace heronwell::rehearsal {
 
@@ -50,6 +52,8 @@
 }
 
 std::string Demo::config(std::uint16_t port) const {
+  std::string schema;
+  put_json_text(schema, kMaps);
   return fmt::format(R"(gateway: {{name: demo, zone: local}}
 listen: {{port: {}}}
 list: {{consul: [{{port: {}}}]}}
@@ -61,9 +65,10 @@
   plan-load: {{aim: 5s, give_up: 30s, worth: 3, threads: 1, effect: unsafe, holds_group: true}}
 loads: {{fields: [inflight, util], in_answers: true, tells_cost: true}}
 engines: {{never_began: ["53300"]}}
+graphql: {{sdl: {}}}
 log: {{requests: problems}}
 )",
-                     port, parts_->list->port());
+                     port, parts_->list->port(), schema);
 }
 
 }  // namespace heronwell::rehearsal
--- a/src/rehearsal/engine.cpp
+++ b/src/rehearsal/engine.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <charconv>
 #include <deque>
 #include <map>
@@ -20,17 +21,81 @@
 constexpr std::size_t kMostMessage = 16 << 20;
 constexpr std::size_t kChunk = 256 << 10;  // bytes of rows on their way at a time
 
+using Parameters = std::vector<std::optional<std::string>>;
+struct Statement {
+  std::string text;
+  bool bound = false;  // came by the extended protocol
+  Parameters parameters;
+};
+
+struct ColumnPlan {
+  sql::Column column;
+  std::string source;  // empty: made up; "each"; "$1"; else a value, or several of them by turns with |
+};
+
 // What the comment of a statement asks for.
 struct Request {
-  std::string id = "-", error;
+  std::string id = "-", error, tag = "SELECT";
   Job job;
   std::size_t rows = 1, bytes = 1;
   bool plain = true;  // no comment
   bool late_error = false;
+  bool bound = false, no_rows = false;
+  std::vector<ColumnPlan> columns;
+  std::vector<std::string> each{""};  // rows are given for each of these
+  Parameters parameters;
 };
 
-Request read_request(std::string_view statement) {
+// "columns=id:23,name:25=Gate A|Gate B": object ids of types after the colon.
+std::vector<ColumnPlan> read_columns(const std::string& text) {
+  std::vector<ColumnPlan> out;
+  std::istringstream words(text);
+  for (std::string word; std::getline(words, word, ',');) {
+    ColumnPlan plan;
+    const auto equals = word.find('=');
+    if (equals != std::string::npos) plan.source = word.substr(equals + 1);
+    const auto name = word.substr(0, equals);
+    const auto colon = name.find(':');
+    plan.column.name = name.substr(0, colon);
+    if (colon != std::string::npos)
+      std::from_chars(name.data() + colon + 1, name.data() + name.size(), plan.column.type);
+    out.push_back(std::move(plan));
+  }
+  return out;
+}
+
+// The elements of an array parameter such as {"1","2"}.
+std::vector<std::string> elements(const std::string& text) {
+  std::vector<std::string> out;
+  bool quoted = false, any = false;
+  std::string one;
+  for (std::size_t i = 1; i + 1 < text.size(); ++i) {
+    any = true;
+    if (text[i] == '"') {
+      quoted = !quoted;
+    } else if (text[i] == ',' && !quoted) {
+      out.push_back(std::exchange(one, {}));
+    } else {
+      if (text[i] == '\\') ++i;
+      one += text[i];
+    }
+  }
+  if (any) out.push_back(one);
+  return out;
+}
+
+// A record's text: what could break its JSON is replaced.
+std::string recordable(std::string text) {
+  for (auto& c : text)
+    if (c == '"' || c == '\\' || static_cast<unsigned char>(c) < 0x20) c = '_';
+  return text.empty() ? "-" : text;
+}
+
+Request read_request(const Statement& asked) {
   Request request;
+  const std::string_view statement = asked.text;
+  request.bound = asked.bound;
+  request.parameters = asked.parameters;
   const auto begin = statement.find("/*hw ");
   const auto end = begin == std::string_view::npos ? begin : statement.find("*/", begin);
   if (end == std::string_view::npos) return request;
@@ -40,10 +105,19 @@
   while (words >> word) {
     const auto equals = word.find('=');
     if (equals == std::string::npos) continue;
-    const auto key = word.substr(0, equals), value = word.substr(equals + 1);
+    const auto key = word.substr(0, equals);
+    auto value = word.substr(equals + 1);
+    if (value.size() > 1 && value[0] == '$') {  // a bound parameter
+      std::size_t n = 0;
+      std::from_chars(value.data() + 1, value.data() + value.size(), n);
+      value = n >= 1 && n <= asked.parameters.size() ? asked.parameters[n - 1].value_or("") : "";
+    }
     double number = 0;
     std::from_chars(value.data(), value.data() + value.size(), number);
-    if (key == "id") request.id = value;
+    if (key == "id") request.id = recordable(value);
+    if (key == "columns") request.no_rows = value == "none", request.columns = read_columns(value);
+    if (key == "each") request.each = elements(value);
+    if (key == "tag") request.tag = value;
     if (key == "error") request.error = value;
     if (key == "work_ms") request.job.work = number / 1e3;
     if (key == "threads") request.job.threads = static_cast<unsigned>(std::max(1.0, number));
@@ -69,14 +143,15 @@
     Socket socket;
     std::string gateway = "-";
     std::uint32_t process = 0, secret = 0;
-    std::deque<std::string> statements;  // read, not begun
+    std::deque<Statement> statements;  // read, not begun
+    Statement parsed;
     bool busy = false, closed = false, cancelled = false;
     std::uint64_t job = 0;
     Request request;
     double grant_mb = 0;
     unsigned priority = 1;
     std::shared_ptr<std::string> sending;
-    std::size_t rows_left = 0;
+    std::size_t rows_left = 0, rows_sent = 0;
     bool cut = false;
 
     void close(bool reset) {
@@ -163,10 +238,9 @@
           continue;
         }
         if (frame.message.type == 'X') co_return c->close(false);
-        const auto text = frame.message.type == 'Q' ? sql::read_text(frame.message.payload) : std::nullopt;
-        if (!text) co_return c->close(false);
-        c->statements.emplace_back(*text);
+        const bool understood = take(*c, frame.message);
         buffer.erase(0, frame.size);
+        if (!understood) co_return c->close(false);
         next_statement(c);
       }
       if (c->closed) break;
@@ -177,6 +251,27 @@
     }
   }
 
+  // A query, or a step of the extended protocol; whatever statement and portal are named, there is one.
+  static bool take(Connection& c, const sql::Message& message) {
+    if (message.type == 'Q') {
+      const auto text = sql::read_text(message.payload);
+      if (text) c.statements.push_back({std::string(*text), false, {}});
+      return text.has_value();
+    }
+    if (message.type == 'P') {
+      const auto text = sql::read_parse(message.payload);
+      if (text) c.parsed = {std::string(*text), true, {}};
+      return text.has_value();
+    }
+    if (message.type == 'B') {
+      auto parameters = sql::read_bind(message.payload);
+      if (parameters) c.parsed.parameters = std::move(*parameters);
+      return parameters.has_value();
+    }
+    if (message.type == 'S') c.statements.push_back(std::move(c.parsed));
+    return message.type == 'D' || message.type == 'E' || message.type == 'S';
+  }
+
   void greet(const Ptr& c, const sql::Startup& startup) {
     for (const auto& [name, value] : startup.parameters)
       if (name == "application_name") c->gateway = value;
@@ -220,7 +315,7 @@
     if (c->busy || c->closed || c->statements.empty()) return;
     const auto statement = std::move(c->statements.front());
     c->statements.pop_front();
-    if (statement.starts_with("set ")) return set(c, statement);
+    if (statement.text.starts_with("set ")) return set(c, statement.text);
     c->request = read_request(statement);
     if (c->request.plain) return finish(c);
     record("read", *c, c->request.id);
@@ -315,17 +410,63 @@
       }
     }
     c->busy = true;
-    c->rows_left = request.rows;
+    c->rows_left = request.no_rows ? 0 : request.rows * request.each.size();
+    c->rows_sent = 0;
     c->cut = !request.plain && chance(faults.cut);
     std::string out;
     tell_load(out);
-    sql::put_columns(out, {{"value", request.plain ? 23U : 25U}});
+    if (request.bound) {
+      sql::put_parse_complete(out);
+      sql::put_bind_complete(out);
+    }
+    std::vector<sql::Column> columns;
+    for (const auto& plan : request.columns) columns.push_back(plan.column);
+    if (request.no_rows)
+      sql::put_no_data(out);
+    else if (columns.empty())
+      sql::put_columns(out, {{"value", request.plain ? 23U : 25U}});
+    else
+      sql::put_columns(out, columns);
     rows(c, std::move(out));
   }
 
+  static std::optional<std::string> made_up(const Request& request, const ColumnPlan& plan, std::size_t row) {
+    const auto& source = plan.source;
+    if (source == "each") return request.each[row / request.rows];
+    if (source.size() > 1 && source[0] == '$') {
+      std::size_t n = 0;
+      std::from_chars(source.data() + 1, source.data() + source.size(), n);
+      return n >= 1 && n <= request.parameters.size() ? request.parameters[n - 1] : std::nullopt;
+    }
+    if (!source.empty()) {
+      std::vector<std::string> turns;
+      std::istringstream words(source);
+      for (std::string word; std::getline(words, word, '|');) turns.push_back(word);
+      auto text = turns[row % turns.size()];
+      std::ranges::replace(text, '_', ' ');
+      return text;
+    }
+    const auto number = std::to_string(row + 1);
+    if (plan.column.type == 16) return "t";
+    if (sql::number_type(plan.column.type)) return number;
+    return plan.column.name + " " + number;
+  }
+
+  // Appends the next row.
+  static void row(Connection& c, const std::string& filler, std::string& out) {
+    const auto& request = c.request;
+    const auto at = c.rows_sent++;
+    if (request.columns.empty()) return sql::put_row(out, {filler});
+    std::vector<std::optional<std::string>> texts;
+    for (const auto& plan : request.columns) texts.push_back(made_up(request, plan, at));
+    std::vector<sql::Value> values;
+    for (const auto& text : texts) values.push_back(text ? sql::Value(*text) : std::nullopt);
+    sql::put_row(out, values);
+  }
+
   void rows(const Ptr& c, std::string out) {
     const std::string value = c->request.plain ? "1" : std::string(c->request.bytes, 'x');
-    for (; c->rows_left > 0 && out.size() < kChunk; --c->rows_left) sql::put_row(out, {value});
+    for (; c->rows_left > 0 && out.size() < kChunk; --c->rows_left) row(*c, value, out);
     if (c->rows_left > 0) return c->send(std::move(out), [this, c] { rows(c, {}); });
     if (c->cut)
       return c->send(std::move(out), [this, c] { record("cut", *c, c->request.id), c->close(true); });
@@ -335,7 +476,8 @@
       sql::put_notice(out, {"NOTICE", "01H04",
                             fmt::format("work_ms={:.3f} memory_mb={:.1f}", c->request.job.work * 1e3,
                                         c->request.job.memory_mb)});
-    sql::put_complete(out, fmt::format("SELECT {}", c->request.rows));
+    sql::put_complete(out, fmt::format("{} {}", c->request.tag == "INSERT" ? "INSERT 0" : c->request.tag,
+                                       c->request.no_rows ? c->request.rows : c->rows_sent));
     sql::put_ready(out);
     if (!c->request.plain) record("sent", *c, c->request.id);
     c->send(std::move(out), [this, c] {
--- a/src/rehearsal/engine.hpp
+++ b/src/rehearsal/engine.hpp
@@ -2,7 +2,14 @@
 // costs stands in a comment of its own, which is all that it reads of it:
 //
 //   select ... /*hw id=c0-17 work_ms=120 threads=2 io=0.3 need_mb=80 group=7 holds=0 waits=1 rows=3 bytes=20
-//                  sleep_ms=0 error=42P01 */
+//                  error=42P01 */
+//
+// A value that is $1, $2 ... is that bound parameter's. For statements by the extended protocol also:
+//   columns=id:23,name:25=Gate_A|Gate_B,shop:25=each   columns with their types' object ids and, after =,
+//   their
+//                                                      values; "none": a statement without rows
+//   each=$1                                            rows for each element of an array parameter
+//   tag=INSERT                                         of the command tag
 //
 // Statements without one are answered at once with a row "1".
 #pragma once
--- a/src/sql/protocol.cpp
+++ b/src/sql/protocol.cpp
@@ -74,6 +74,41 @@
 void put_query(std::string& out, std::string_view statement) {
   message(out, 'Q', [&] { put_text(out, statement); });
 }
+void put_parse(std::string& out, std::string_view statement) {
+  message(out, 'P', [&] {
+    put_text(out, "");
+    put_text(out, statement);
+    put_u16(out, 0);  // the engine infers types
+  });
+}
+void put_bind(std::string& out, const std::vector<std::optional<std::string>>& parameters) {
+  message(out, 'B', [&] {
+    put_text(out, "");
+    put_text(out, "");
+    put_u16(out, 0);  // all as text
+    put_u16(out, static_cast<unsigned>(parameters.size()));
+    for (const auto& one : parameters) {
+      put_u32(out, one ? static_cast<std::uint32_t>(one->size()) : 0xffffffff);
+      if (one) out.append(*one);
+    }
+    put_u16(out, 0);
+  });
+}
+void put_describe(std::string& out) {
+  message(out, 'D', [&] {
+    out.push_back('P');
+    put_text(out, "");
+  });
+}
+void put_execute(std::string& out) {
+  message(out, 'E', [&] {
+    put_text(out, "");
+    put_u32(out, 0);  // all rows
+  });
+}
+void put_sync(std::string& out) {
+  message(out, 'S', [] {});
+}
 void put_terminate(std::string& out) {
   message(out, 'X', [] {});
 }
@@ -121,6 +156,15 @@
 void put_complete(std::string& out, std::string_view tag) {
   message(out, 'C', [&] { put_text(out, tag); });
 }
+void put_parse_complete(std::string& out) {
+  message(out, '1', [] {});
+}
+void put_bind_complete(std::string& out) {
+  message(out, '2', [] {});
+}
+void put_no_data(std::string& out) {
+  message(out, 'n', [] {});
+}
 void put_empty_query(std::string& out) {
   message(out, 'I', [] {});
 }
@@ -172,6 +216,33 @@
   return text;
 }
 
+std::optional<std::string_view> read_parse(std::string_view payload) {
+  ByteReader in(payload);
+  in.text();
+  const auto text = in.text();
+  in.take(std::size_t{4} * in.u16());
+  if (!in.done()) return std::nullopt;
+  return text;
+}
+std::optional<std::vector<std::optional<std::string>>> read_bind(std::string_view payload) {
+  ByteReader in(payload);
+  in.text();
+  in.text();
+  for (auto formats = in.u16(); formats > 0 && in.ok(); --formats)
+    if (in.u16() != 0) return std::nullopt;
+  std::vector<std::optional<std::string>> out;
+  for (auto count = in.u16(); count > 0 && in.ok(); --count) {
+    const auto size = in.u32();
+    if (size == 0xffffffff)
+      out.emplace_back();
+    else
+      out.emplace_back(in.take(size));
+  }
+  in.take(std::size_t{2} * in.u16());
+  if (!in.done()) return std::nullopt;
+  return out;
+}
+
 RowReader::RowReader(std::string_view payload) {
   ByteReader in(payload);
   left_ = in.u16();
--- a/src/sql/protocol.hpp
+++ b/src/sql/protocol.hpp
@@ -35,6 +35,12 @@
 void put_startup(std::string& out, const std::vector<std::pair<std::string, std::string>>& parameters);
 void put_cancel(std::string& out, std::uint32_t process, std::uint32_t secret);
 void put_query(std::string& out, std::string_view statement);  // without NUL bytes
+// The extended query protocol, with the unnamed statement and portal and all values as texts.
+void put_parse(std::string& out, std::string_view statement);
+void put_bind(std::string& out, const std::vector<std::optional<std::string>>& parameters);  // none: NULL
+void put_describe(std::string& out);
+void put_execute(std::string& out);
+void put_sync(std::string& out);
 void put_terminate(std::string& out);
 
 // ---- what an engine's side sends -----------------------------------------------------------------------
@@ -57,6 +63,9 @@
 void put_columns(std::string& out, const std::vector<Column>& columns);
 void put_row(std::string& out, const std::vector<Value>& values);
 void put_complete(std::string& out, std::string_view tag);
+void put_parse_complete(std::string& out);
+void put_bind_complete(std::string& out);
+void put_no_data(std::string& out);  // in answer to Describe, of a statement without rows
 void put_empty_query(std::string& out);
 void put_error(std::string& out, const ErrorText& error);
 void put_notice(std::string& out, const ErrorText& notice);
@@ -66,7 +75,9 @@
 std::optional<std::pair<std::string_view, std::string_view>> read_parameter(std::string_view payload);
 std::optional<std::pair<std::uint32_t, std::uint32_t>> read_key(std::string_view payload);
 std::optional<std::vector<Column>> read_columns(std::string_view payload);
-std::optional<std::string_view> read_text(std::string_view payload);  // a query, or a command tag
+std::optional<std::string_view> read_text(std::string_view payload);   // a query, or a command tag
+std::optional<std::string_view> read_parse(std::string_view payload);  // the statement's text
+std::optional<std::vector<std::optional<std::string>>> read_bind(std::string_view payload);  // texts only
 
 // Values of a DataRow, one by one, without copies.
 class RowReader {
--- a/src/sql/session.cpp
+++ b/src/sql/session.cpp
@@ -11,7 +11,7 @@
 }
 
 void Session::query(std::string& out, const std::vector<std::pair<std::string, std::string>>& settings,
-                    std::string_view statement) {
+                    const Statement& statement) {
   assert(reusable());
   state_ = SessionState::busy;
   settings_out_ = 0;
@@ -19,7 +19,13 @@
     put_query(out, "set " + name + " = '" + value + "'");
     ++settings_out_;
   }
-  put_query(out, statement);
+  bound_ = statement.bound;
+  if (!bound_) return put_query(out, statement.text);
+  put_parse(out, statement.text);
+  put_bind(out, statement.parameters);
+  put_describe(out);
+  put_execute(out);
+  put_sync(out);
 }
 
 std::size_t Session::feed(std::string_view in, SessionEvents& events, const bool& pause) {
@@ -99,6 +105,10 @@
       if (statement) events.on_complete(*tag);
       return true;
     }
+    case '1':  // parsed
+    case '2':  // bound
+    case 'n':  // no rows will come
+      return statement && bound_;
     case 'I':
       if (statement) events.on_complete("");
       return statement;
--- a/src/sql/session.hpp
+++ b/src/sql/session.hpp
@@ -7,6 +7,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -28,6 +29,12 @@
   virtual void on_statement_end() = 0;  // ReadyForQuery after the statement
 };
 
+struct Statement {
+  std::string text;
+  bool bound = false;  // with parameters $1, $2 ..., by the extended query protocol
+  std::vector<std::optional<std::string>> parameters{};  // as texts; none: NULL
+};
+
 enum class SessionState { starting, idle, busy, over };
 
 class Session {
@@ -38,7 +45,7 @@
   // State idle only. `settings` are SET first, each answered by itself; an engine that does not know one
   // runs the statement all the same.
   void query(std::string& out, const std::vector<std::pair<std::string, std::string>>& settings,
-             std::string_view statement);
+             const Statement& statement);
   void cancel_sent() { cancelled_ = tainted_ = true; }
   void give_up() { state_ = SessionState::over; }
 
@@ -60,7 +67,8 @@
 
   std::size_t most_message_, wants_ = 0;
   SessionState state_ = SessionState::starting;
-  bool cancelled_ = false, tainted_ = false;          // tainted: never idle for another statement
+  bool cancelled_ = false, bound_ = false;
+  bool tainted_ = false;                              // tainted: never idle for another statement
   unsigned settings_out_ = 0, settings_refused_ = 0;  // SETs whose ReadyForQuery has not come
   std::uint32_t process_ = 0, secret_ = 0;
 };
--- a/tests/protocol/sql_test.cpp
+++ b/tests/protocol/sql_test.cpp
@@ -164,7 +164,7 @@
   auto session = ready_session(log);
   std::string sent;
   for (int i = 0; i < 2; ++i) {
-    session.query(sent, {}, "select a");
+    session.query(sent, {}, {"select a"});
     EXPECT_FALSE(session.reusable());
     session.feed(answer(), log, log.pause);
     EXPECT_TRUE(session.reusable());
@@ -177,7 +177,7 @@
   Log log;
   auto session = ready_session(log);
   std::string sent;
-  session.query(sent, {}, "select a");
+  session.query(sent, {}, {"select a"});
   session.cancel_sent();
   session.feed(answer(), log, log.pause);  // the answer crossed the cancel
   EXPECT_EQ(session.state(), SessionState::idle);
@@ -188,7 +188,7 @@
   Log log;
   auto session = ready_session(log);
   std::string sent, bytes;
-  session.query(sent, {}, "begin");
+  session.query(sent, {}, {"begin"});
   put_complete(bytes, "BEGIN");
   put_ready(bytes, 'T');
   session.feed(bytes, log, log.pause);
