--- a/src/daemon/graphql.cpp
+++ b/src/daemon/graphql.cpp
@@ -314,19 +314,20 @@
   auto& trouble = reply.trouble.emplace();
   const auto& cls = shard_.config().module.classes[exchange->cls];
   const bool safe = cls.effect == Effect::safe;
-  const bool unknown = !safe && !problem.retry_harmless;
+  // A keyed statement that may have run can be refused, as its repeat does no harm; that holds for the
+  // client's own repeat only where it brings the key again.
+  const bool keyed =
+      cls.effect == Effect::keyed && cls.group == RepeatGroup::all && headers_.contains("idempotency-key");
+  const bool unknown = !safe && !problem.proven_unrun && !(keyed && problem.outcome == "refused");
   trouble.code = unknown                        ? "OUTCOME_UNKNOWN"
                  : problem.outcome == "refused" ? "STATEMENT_REFUSED"
                                                 : "STATEMENT_FAILED";
-  trouble.outcome = problem.outcome;
-  trouble.message = problem.detail;
-  trouble.retry_harmless = safe || !unknown;
+  trouble.outcome = unknown ? "failed" : problem.outcome;
+  trouble.message = unknown ? "it may have run" : problem.detail;
+  trouble.retry_harmless = !unknown || keyed;
   trouble.may_have_run = unknown;
   trouble.pause = problem.pause;
   trouble.attempts = problem.attempts;
-  if (unknown && cls.effect == Effect::keyed && cls.group == RepeatGroup::all &&
-      headers_.contains("idempotency-key"))
-    trouble.retry_harmless = true;  // with the same key, within the window
   pause_ = std::max(pause_, problem.pause);
   ended(exchange, std::move(reply));
 }
--- a/src/daemon/shard.cpp
+++ b/src/daemon/shard.cpp
@@ -349,6 +349,7 @@
   problem.status = 502;
   problem.outcome = "failed";
   problem.detail = "the engine was lost in the middle of the answer";
+  problem.proven_unrun = false;
   problem.retry_harmless = config_.module.classes[exchange->cls].effect == Effect::safe;
   tell_problem(exchange, problem);
 }
--- a/src/graphql/over_http.cpp
+++ b/src/graphql/over_http.cpp
@@ -10,6 +10,9 @@
 namespace heronwell::graphql {
 namespace {
 
+constexpr std::string_view kResponse = "application/graphql-response+json", kJson = "application/json",
+                           kHtml = "text/html";
+
 std::string lower(std::string_view text) {
   std::string out(text);
   std::ranges::transform(out, out.begin(),
@@ -39,45 +42,49 @@
   return lower(text);
 }
 
-// RFC 9110, section 12.5.1. The best of those the server has; the first where all are alike. Empty: none.
-std::optional<std::string_view> best(std::string_view accept, const std::vector<std::string_view>& offers) {
-  std::optional<std::string_view> found;
-  double best_quality = 0;
-  for (const auto offer : offers) {
-    double quality = 0;
-    int precision = -1;
-    for (const auto range : parts(accept, ',')) {
-      const auto pieces = parts(range, ';');
-      const auto type = lower(pieces[0]);
-      const int precise = type == offer                                                                ? 2
+// RFC 9110, section 12.5.1: how much a type is wished for, and how precisely it was named (2: by its name, 0:
+// by "*/*"). Quality 0: not at all.
+struct Wish {
+  double quality = 0;
+  int precision = -1;
+};
+Wish wish(std::string_view accept, std::string_view offer) {
+  Wish found;
+  for (const auto range : parts(accept, ',')) {
+    const auto pieces = parts(range, ';');
+    const auto type = lower(pieces[0]);
+    const int precision = type == offer                                                                ? 2
                           : type.ends_with("/*") && offer.starts_with(type.substr(0, type.size() - 1)) ? 1
                           : type == "*/*"                                                              ? 0
                                                                                                        : -1;
-      if (precise <= precision) continue;
-      double q = 1;
-      bool fits = true;
-      for (std::size_t i = 1; i < pieces.size(); ++i) {
-        const auto piece = pieces[i];
-        const auto equals = piece.find('=');
-        const auto name = lower(trimmed(piece.substr(0, equals)));
-        const auto value =
-            equals == std::string_view::npos ? "" : unquoted(trimmed(piece.substr(equals + 1)));
-        if (name == "q" && std::from_chars(value.data(), value.data() + value.size(), q).ec != std::errc{})
-          q = 0;
-        if (name == "charset" && value != "utf-8") fits = false;
-      }
-      if (!fits) continue;
-      precision = precise;
-      quality = q;
-    }
-    if (quality > best_quality) {
-      best_quality = quality;
-      found = offer;
+    if (precision <= found.precision) continue;
+    double quality = 1;
+    bool fits = true;
+    for (std::size_t i = 1; i < pieces.size(); ++i) {
+      const auto equals = pieces[i].find('=');
+      const auto name = lower(trimmed(pieces[i].substr(0, equals)));
+      const auto value =
+          equals == std::string_view::npos ? "" : unquoted(trimmed(pieces[i].substr(equals + 1)));
+      if (name == "q" &&
+          std::from_chars(value.data(), value.data() + value.size(), quality).ec != std::errc{})
+        quality = 0;
+      if (name == "charset" && value != "utf-8") fits = false;
     }
+    if (fits) found = {quality, precision};
   }
   return found;
 }
 
+// Without a wish, or by a wildcard, the older type, which every client reads. Empty: neither is wished for.
+std::optional<Media> chosen_media(std::string_view accept) {
+  if (trimmed(accept).empty()) return Media::json;
+  const auto newer = wish(accept, kResponse), older = wish(accept, kJson);
+  if (newer.quality <= 0 && older.quality <= 0) return std::nullopt;
+  if (newer.quality != older.quality)
+    return newer.quality > older.quality ? Media::response_json : Media::json;
+  return newer.precision == 2 ? Media::response_json : Media::json;
+}
+
 struct Wrong {
   std::string message;
 };
@@ -172,14 +179,14 @@
                                                      bool page) {
   const bool get = request.method == "GET" || request.method == "HEAD";
   const auto accept = request.header("accept").value_or("");
-  constexpr std::string_view kResponse = "application/graphql-response+json", kJson = "application/json",
-                             kHtml = "text/html";
-  // Without a wish the newer type, as the draft has it since its watershed of 2025.
-  const auto chosen = trimmed(accept).empty() ? std::optional(kResponse) : best(accept, {kResponse, kJson});
-  const auto media = chosen && *chosen == kJson ? Media::json : Media::response_json;
+  const auto chosen = chosen_media(accept);
+  const auto media = chosen.value_or(Media::response_json);
   const auto mark = request.target.find('?');
   const auto query = mark == std::string_view::npos ? "" : request.target.substr(mark + 1);
-  if (get && page && query.empty() && best(accept, {kResponse, kJson, kHtml}) == kHtml) return HttpPage{};
+  const auto html = wish(accept, kHtml);
+  if (get && page && query.empty() && html.precision == 2 &&
+      html.quality >= std::max(wish(accept, kJson).quality, wish(accept, kResponse).quality))
+    return HttpPage{};
   if (!get && request.method != "POST")
     return HttpWrong{405, media, "GET and POST are served here", "GET, POST"};
   if (!chosen)
--- a/src/router/front.cpp
+++ b/src/router/front.cpp
@@ -131,6 +131,7 @@
 Problem problem_of(const Answer& answer) {
   Problem problem;
   problem.attempts = answer.attempts;
+  problem.proven_unrun = answer.proven_unrun;
   problem.pause = answer.pause;
   problem.retry_harmless = answer.ending == Ending::refused || answer.proven_unrun;
   if (answer.ending == Ending::refused) {
--- a/src/router/front.hpp
+++ b/src/router/front.hpp
@@ -24,6 +24,7 @@
       "rejected";  // rejected (never taken), refused, failed, served (the statement's own fault)
   std::string sqlstate;
   bool retry_harmless = true;
+  bool proven_unrun = true;  // no attempt can have run
   unsigned attempts = 0;
   Time pause{};  // zero: none told
 };
--- a/tests/e2e/rig.hpp
+++ b/tests/e2e/rig.hpp
@@ -21,6 +21,7 @@
 #include <thread>
 
 #include "daemon/server.hpp"
+#include "graphql/documents.hpp"
 #include "http/message.hpp"
 #include "rehearsal/engine.hpp"
 #include "rehearsal/list.hpp"
@@ -121,6 +122,7 @@
     unsigned threads = 1;
     Time progress{};
     unsigned of = 1;              // gateways
+    std::string classes;          // YAML, in addition
     std::string engine_settings;  // YAML, within engines: {...}
   };
   explicit Rig(Options options) : options_(std::move(options)) {
@@ -240,12 +242,16 @@
 classes:
   lookup: {{aim: 500ms, give_up: 3s}}
   load: {{aim: 2s, give_up: 4s, effect: unsafe}}
-loads: {{fields: [inflight, util], in_answers: true, tells_cost: true, progress_pace: {}}}
+{}loads: {{fields: [inflight, util], in_answers: true, tells_cost: true, progress_pace: {}}}
 engines: {{never_began: ["53300"], cancel_wait: 200ms{}}}
 {})",
-                    options_.threads, options_.of, list_->port(), yaml::duration_text(options_.progress),
-                    options_.engine_settings, options_.settings);
-    server_ = std::make_unique<daemon::Server>(daemon::read_config(yaml::Section::text(yaml, "rig")));
+                    options_.threads, options_.of, list_->port(), options_.classes,
+                    yaml::duration_text(options_.progress), options_.engine_settings, options_.settings);
+    try {
+      server_ = std::make_unique<daemon::Server>(daemon::read_config(yaml::Section::text(yaml, "rig")));
+    } catch (const yaml::Error& error) {
+      FAIL() << error.what();
+    }
     port_ = server_->port();
     auto ready = std::make_shared<std::promise<void>>();
     serving_ = std::thread([this, ready] { server_->run([ready] { ready->set_value(); }, 200ms); });
--- a/tests/protocol/sql_test.cpp
+++ b/tests/protocol/sql_test.cpp
@@ -200,7 +200,7 @@
   Log log;
   auto session = ready_session(log);
   std::string sent, bytes;
-  session.query(sent, {{"work_mem", "4MB"}, {"unknown.thing", "1"}}, "select a");
+  session.query(sent, {{"work_mem", "4MB"}, {"unknown.thing", "1"}}, {"select a"});
   put_complete(bytes, "SET");
   put_ready(bytes);
   put_error(bytes, {"ERROR", "42704", "unknown"});
@@ -214,7 +214,7 @@
   Log log;
   auto session = ready_session(log);
   std::string sent;
-  session.query(sent, {}, "select a");
+  session.query(sent, {}, {"select a"});
   log.pause_at_row = true;
   auto bytes = answer();
   bytes.erase(0, session.feed(bytes, log, log.pause));
@@ -237,5 +237,57 @@
   }
 }
 
+TEST(Session, BindsParametersByTheExtendedProtocol) {
+  Session session(1 << 16);
+  std::string sent, in;
+  session.start(sent, {{"user", "u"}});
+  put_authentication_ok(in);
+  put_ready(in);
+  Log log;
+  bool pause = false;
+  session.feed(in, log, pause);
+  sent.clear();
+  session.query(sent, {{"work_mem", "4MB"}}, {"select $1, $2", true, {"a'b", std::nullopt}});
+  std::string types;
+  std::vector<std::optional<std::string>> bound;
+  for (std::string_view rest = sent; !rest.empty();) {
+    const auto frame = next_message(rest, 1 << 16);
+    ASSERT_EQ(frame.state, Frame::State::complete);
+    types += frame.message.type;
+    if (frame.message.type == 'P') {
+      EXPECT_EQ(read_parse(frame.message.payload), "select $1, $2");
+    }
+    if (frame.message.type == 'B') {
+      const auto read = read_bind(frame.message.payload);
+      ASSERT_TRUE(read);
+      bound = *read;
+      for (std::size_t n = 0; n < frame.message.payload.size(); ++n)
+        EXPECT_FALSE(read_bind(frame.message.payload.substr(0, n))) << n;
+    }
+    rest.remove_prefix(frame.size);
+  }
+  EXPECT_EQ(types, "QPBDES");
+  EXPECT_EQ(bound, (std::vector<std::optional<std::string>>{"a'b", std::nullopt}));
+  in.clear();
+  put_complete(in, "SET");
+  put_ready(in);
+  put_parse_complete(in);
+  put_bind_complete(in);
+  put_columns(in, {{"a", 25}, {"b", 25}});
+  put_row(in, {"a'b", std::nullopt});
+  put_complete(in, "SELECT 1");
+  put_ready(in);
+  log.text.clear();
+  EXPECT_EQ(session.feed(in, log, pause), in.size());
+  EXPECT_TRUE(session.reusable());
+  EXPECT_NE(log.text.find("columns 2;row 2;"), std::string::npos) << log.text;
+  // Answers to Parse and Bind have no place in a simple query.
+  session.query(sent, {}, {"select 1"});
+  in.clear();
+  put_parse_complete(in);
+  session.feed(in, log, pause);
+  EXPECT_EQ(session.state(), SessionState::over);
+}
+
 }  // namespace
 }  // namespace heronwell::sql
--- a/tests/router/front_test.cpp
+++ b/tests/router/front_test.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include "base/json.hpp"
 #include "router/rows.hpp"
 
 namespace heronwell::router {
