Tracing: W3C Trace Context, spans of every step to OTLP files, heronwell follow

One request could not be followed. Spans for parse, validate, plan, statement, hold, choice (with what was known: class queue, budget, pool, threads out on the engine), dial, each attempt and streamed answer; head sampling by the trace id, and what was refused, failed, late or retried is kept; a bounded queue and file.

Seen: a query of four statements and its reports over two engines as one timeline, statement comments on.

--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -29,6 +29,7 @@
 #include "rehearsal/list.hpp"
 #include "rehearsal/load.hpp"
 #include "rehearsal/relay.hpp"
+#include "trace/trail.hpp"
 
 namespace {
 
@@ -163,6 +164,25 @@
   return result.kept() ? kDone : kFailed;
 }
 
+int follow(std::string id, const std::vector<std::string>& files) {
+  if (const auto context = trace::read_traceparent(id)) id = context->trace.hex();
+  if (id.size() != 32 || id.find_first_not_of("0123456789abcdef") != std::string::npos)
+    throw yaml::Error("command line:1:1: trace: expected 32 hex digits, or a traceparent");
+  std::vector<std::string> lines;
+  for (const auto& file : files) {
+    std::ifstream stream(file);
+    if (!stream) throw yaml::Error(file + ":1:1: cannot be read");
+    for (std::string line; std::getline(stream, line);)
+      if (line.find(id) != std::string::npos) lines.push_back(std::move(line));
+  }
+  std::size_t malformed = 0;
+  const auto text = trace::timeline(lines, id, malformed);
+  std::cout << text;
+  if (malformed > 0) std::cerr << malformed << " lines are no OTLP" << std::endl;
+  if (text.empty()) std::cerr << "trace " << id << " is in none of these files" << std::endl;
+  return text.empty() ? kFailed : kDone;
+}
+
 int run_day(const std::string& file, const std::string& folder) {
   const auto day = rehearsal::read_day(file);
   const auto r = rehearsal::run_day(day, folder, std::filesystem::read_symlink("/proc/self/exe"));
@@ -258,6 +278,12 @@
   auto* auditing = app.add_subcommand("audit", "Prove the seven rules from a day's records");
   auditing->add_option("folder", folder, "Folder of a day's records")->required();
 
+  auto* following = app.add_subcommand("follow", "Print one request's way from the routers' trace files");
+  std::string trace_id;
+  std::vector<std::string> trace_files;
+  following->add_option("trace", trace_id, "Its trace id, 32 hex digits, or a traceparent")->required();
+  following->add_option("files", trace_files, "Trace files of the routers")->required();
+
   app.add_subcommand("version", "Print the version");
 
   try {
@@ -289,6 +315,7 @@
     if (*load) return run_load(file, ports, start, record);
     if (*day_run) return run_day(file, folder);
     if (*auditing) return audit_day(folder);
+    if (*following) return follow(trace_id, trace_files);
     if (*schema_check) {
       auto read = daemon::read_config(yaml::Section::file(config_file));
       if (!schema_file.empty()) read.graphql.schema = schema_file, read.graphql.sdl.clear();
--- a/src/daemon/client.cpp
+++ b/src/daemon/client.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/write.hpp>
 
 #include "daemon/graphql.hpp"
+#include "daemon/tracing.hpp"
 
 namespace heronwell::daemon {
 namespace {
@@ -150,6 +151,7 @@
   if (target == "/healthz" && get)
     return whole(exchange, 200, "text/plain", shard_.stopping() ? "stopping\n" : "ok\n");
   router::Problem problem;
+  if (target == "/graphql" || target == "/v1/query") trace_begin(shard_, *exchange, parser_);
   if (target == "/graphql" && shard_.graphql() != nullptr)
     return serve_graphql(shard_, *shard_.graphql(), exchange, parser_, body_);
   if (target != "/v1/query") {
@@ -179,7 +181,13 @@
                              const std::vector<http::Field>& more) {
   if (exchange->done) return;
   std::string head;
-  http::put_response(head, status, type, body.size(), exchange->keep_alive, more);
+  if (exchange->trace_response.empty()) {
+    http::put_response(head, status, type, body.size(), exchange->keep_alive, more);
+  } else {
+    auto fields = more;
+    fields.push_back({"traceresponse", exchange->trace_response});
+    http::put_response(head, status, type, body.size(), exchange->keep_alive, fields);
+  }
   if (exchange->head_only) body.clear();
   if (body.size() < 4096) {
     head += body;
@@ -193,7 +201,9 @@
 
 void ClientConnection::begin(const ExchangePtr& exchange) {
   std::string head;
-  http::put_response(head, 200, "application/json", std::nullopt, exchange->keep_alive);
+  std::vector<http::Field> more;
+  if (!exchange->trace_response.empty()) more.push_back({"traceresponse", exchange->trace_response});
+  http::put_response(head, 200, "application/json", std::nullopt, exchange->keep_alive, more);
   exchange->started = exchange->streaming = true;
   put(exchange, std::move(head));
 }
--- a/src/daemon/config.cpp
+++ b/src/daemon/config.cpp
@@ -124,6 +124,14 @@
   read_engines(file.section("engines"), config.engines);
   read_list(file.section("list"), config.list);
   read_graphql(file.section("graphql"), config.graphql);
+  auto trace = file.section("trace");
+  config.trace.file = trace.string("file", "");
+  config.trace.sample = trace.number("sample", 0.01, 0, 1);
+  config.trace.keep_trouble = trace.boolean("keep_trouble", true);
+  config.trace.queue = trace.count("queue", config.trace.queue, 1, 10'000'000);
+  config.trace.file_bytes = trace.size("file_bytes", config.trace.file_bytes);
+  config.trace.comment = trace.boolean("comment", false);
+  trace.close();
   auto peers = file.section("peers");
   if (peers.has("port")) {
     config.peers.at = read_address(peers);
@@ -208,6 +216,12 @@
       out += "\n";
     }
   }
+  if (!c.trace.file.empty())
+    fmt::format_to(to,
+                   "trace:\n  file: {}\n  sample: {}\n  keep_trouble: {}\n  queue: {}\n  file_bytes: {}\n  "
+                   "comment: {}\n",
+                   c.trace.file, c.trace.sample, c.trace.keep_trouble, c.trace.queue, b(c.trace.file_bytes),
+                   c.trace.comment);
   fmt::format_to(to, "log:\n  file: \"{}\"\n  level: {}\n  requests: {}\n", c.log.file, c.log.level,
                  c.log.requests);
   return out + router::effective(c.module, c.names);
--- a/src/daemon/config.hpp
+++ b/src/daemon/config.hpp
@@ -13,6 +13,7 @@
 #include "heronwell/gateway.hpp"
 #include "http/message.hpp"
 #include "router/settings.hpp"
+#include "trace/tracer.hpp"
 
 namespace heronwell::daemon {
 
@@ -75,6 +76,8 @@
     [[nodiscard]] bool served() const { return !schema.empty() || !sdl.empty(); }
   } graphql;
 
+  trace::Options trace;
+
   struct Log {
     std::string file;      // empty: standard error
     std::string level;     // of spdlog
--- a/src/daemon/decisions.cpp
+++ b/src/daemon/decisions.cpp
@@ -36,6 +36,7 @@
   shards_ = std::move(shards);
   orders_.resize(shards_.size());
   if (config_.peers.at) open_peers();
+  host_.explain(!config_.trace.file.empty());
   lists_.start();
   run();
   measure();
--- a/src/daemon/engine.cpp
+++ b/src/daemon/engine.cpp
@@ -37,6 +37,7 @@
 void EngineConnection::dial(AttemptPtr attempt) {
   attempt_ = std::move(attempt);
   attempt_->connection = weak_from_this();
+  attempt_->dialled = true;
   limit(shard_.config().engines.dial_timeout);
   asio::co_spawn(
       socket_.get_executor(), [self = shared_from_this()] { return self->run(); }, asio::detached);
@@ -119,6 +120,7 @@
   }
   std::string bytes;
   session_.query(bytes, attempt->settings, *attempt->statement);
+  attempt->sent = steady_now();
   boost::system::error_code error;
   const auto wrote = socket_.write_some(asio::buffer(bytes), error);
   if (error && error != asio::error::would_block && wrote == 0) {
@@ -328,6 +330,7 @@
 void EngineConnection::stream() {
   if (!attempt_ || attempt_->stopped) return;
   attempt_->streaming = true;
+  attempt_->exchange->stream_since = steady_now();
   attempt_->exchange->client->begin(attempt_->exchange);
   forward();
   if (!paused_ || attempt_->exchange->client->backlog(attempt_->exchange) < shard_.config().listen.high_water)
--- a/src/daemon/graphql.cpp
+++ b/src/daemon/graphql.cpp
@@ -13,6 +13,7 @@
 
 #include "daemon/client.hpp"
 #include "daemon/page.hpp"
+#include "daemon/tracing.hpp"
 
 namespace heronwell::daemon {
 namespace {
@@ -144,7 +145,14 @@
       return reject(slot, "the document is not the one of this SHA-256", "PERSISTED_QUERY_MISMATCH");
     }
   }
-  slot.prepared = documents.get(text);
+  bool fresh = false;
+  slot.prepared = documents.get(text, &fresh);
+  if (auto* trail = client_->trail.get(); trail != nullptr && fresh) {
+    const auto now = steady_now();
+    const auto parsed = now - slot.prepared->validating;
+    trail->add("parse", client_->span, parsed - slot.prepared->parsing, parsed);
+    trail->add("validate", client_->span, parsed, now);
+  }
   const auto& prepared = *slot.prepared;
   if (!prepared.errors.empty()) {
     const bool parsed = !prepared.errors.front().rule.empty();
@@ -182,11 +190,13 @@
     asked.idempotency_key = slot.key.empty() ? drawn_key() : slot.key;
   }
   slot.executed = true;
+  const auto planning = steady_now();
   slot.execution = std::make_unique<graphql::Execution>(graphql_.bound(), prepared.document, *definition,
                                                         std::move(asked), graphql_.config().bounds);
   std::vector<graphql::Call> out;
   slot.execution->start(steady_now(), out);
   for (auto& call : out) calls_.emplace_back(number, std::move(call));
+  if (client_->trail) client_->trail->add("plan", client_->span, planning, steady_now());
 }
 
 // False: answered already, or it may not run.
@@ -267,6 +277,11 @@
   exchange->call = call.id << 16 | slot;
   exchange->statement_number = number;
   exchange->began = steady_now();
+  if (client_->trail) {
+    exchange->trail = client_->trail;
+    exchange->span = client_->trail->fresh();
+    exchange->field = call.field;
+  }
   exchange->most_bytes = std::max<std::size_t>(1, call.most_bytes);
   exchange->statement = std::make_shared<const sql::Statement>(
       sql::Statement{std::string(call.statement), true, std::move(call.parameters)});
@@ -374,6 +389,7 @@
   if (pause_ > Time::zero()) more.push_back({"retry-after", pause});
   if (status == 405) more.push_back({"allow", "POST"});
   const auto client = std::exchange(client_, nullptr);
+  trace_end(shard_, *client, {errors ? 'E' : executed ? 'S' : 'B', '-'}, status);
   client->asker = nullptr;
   shard_.metrics().graphql_open->Decrement();
   client->client->whole(client, status, graphql::media_type(ask_.media), std::move(body), more);
@@ -395,6 +411,7 @@
                         R"("retryHarmless":false}}]})");
   }
   for (const auto& [number, exchange] : std::exchange(open_, {})) shard_.left(exchange);
+  if (client_) trace_end(shard_, *client_, {'C', '-'}, 0);
   client_ = nullptr;
 }
 
--- a/src/daemon/server.cpp
+++ b/src/daemon/server.cpp
@@ -35,9 +35,12 @@
 
 struct Server::Parts {
   explicit Parts(Config given)
-      : config(std::move(given)), metrics(router::class_names(config.module)), front(config.module) {
+      : config(std::move(given)),
+        metrics(router::class_names(config.module)),
+        front(config.module),
+        tracer(config.trace, config.name, HERONWELL_VERSION) {
     for (unsigned i = 0; i < config.threads; ++i)
-      shards.push_back(std::make_unique<Shard>(config, metrics, front, i, config.threads));
+      shards.push_back(std::make_unique<Shard>(config, metrics, front, tracer, i, config.threads));
     auto& first = shards.front()->context();
     decisions = std::make_unique<Decisions>(first, config, metrics, config.seed.value_or(drawn_seed()));
     if (config.graphql.served()) graphql.emplace(config);
@@ -97,6 +100,7 @@
   Config config;
   Metrics metrics;
   router::Front front;
+  trace::Tracer tracer;
   std::optional<Graphql> graphql;
   std::vector<std::unique_ptr<Shard>> shards;
   std::unique_ptr<Decisions> decisions;
--- a/src/daemon/shard.cpp
+++ b/src/daemon/shard.cpp
@@ -6,9 +6,11 @@
 #include <algorithm>
 #include <boost/asio/ip/address.hpp>
 #include <charconv>
+#include <random>
 
 #include "daemon/client.hpp"
 #include "daemon/engine.hpp"
+#include "daemon/tracing.hpp"
 
 namespace heronwell::daemon {
 namespace {
@@ -46,11 +48,13 @@
 
 }  // namespace
 
-Shard::Shard(const Config& config, Metrics& metrics, const router::Front& front, unsigned index,
-             unsigned shards)
+Shard::Shard(const Config& config, Metrics& metrics, const router::Front& front, trace::Tracer& tracer,
+             unsigned index, unsigned shards)
     : config_(config),
       metrics_(metrics),
       front_(front),
+      tracer_(tracer),
+      random_(pcg_extras::seed_seq_from<std::random_device>()),
       index_(index),
       pool_cap_(std::max<std::size_t>(1, config.engines.connections / shards)),
       orders_(context_.get_executor(), [this](std::vector<Order>& orders) { carry_out(orders); }),
@@ -100,11 +104,14 @@
   return now < suspect_until_ ? suspect_from_ : now;
 }
 
+std::uint64_t Shard::drawn() { return random_(); }
+
 void Shard::stop_serving() { stopping_ = true; }
 
 // ---- requests ------------------------------------------------------------------------------------------
 void Shard::take(const ExchangePtr& exchange, router::Ask ask) {
   exchange->cls = ask.asked.cls;
+  exchange->held_since = steady_now();
   exchange->tenant = ask.asked.tenant;
   exchange->deadline = exchange->began + ask.asked.time_left;
   ask.asked.time_left = std::max(Time::zero(), exchange->deadline - steady_now());
@@ -144,6 +151,7 @@
 }
 
 void Shard::finished(const ExchangePtr& exchange, router::Termination end, int status) {
+  trace_end(*this, *exchange, end, status);
   const auto took = steady_now() - exchange->began;
   const bool good = end.who == 'S' || end.who == 'E';
   if (good) metrics_.classes[exchange->cls].seconds->Observe(std::chrono::duration<double>(took).count());
@@ -203,6 +211,7 @@
   if (!attempt->exchange)
     return end_attempt(attempt, sql::Seen::not_written);  // its client has left just now
   ++attempt->exchange->attempts;
+  trace_choice(*this, *attempt->exchange, order.knew, order.engine);
   attempt->exchange->engine = order.engine;
   attempt->statement = attempt->exchange->statement;
   const auto& engines = config_.engines;
@@ -211,6 +220,14 @@
                                    fmt::format("{:.0f}MB", std::max(1.0, order.terms->memory_mb)));
   if (order.terms && config_.module.priorities && !engines.priority_setting.empty())
     attempt->settings.emplace_back(engines.priority_setting, std::to_string(order.terms->priority));
+  if (attempt->exchange->trail && config_.trace.comment) {  // as sqlcommenter has it
+    auto marked = *attempt->statement;
+    const auto& trail = *attempt->exchange->trail;
+    marked.text += " /*traceparent='" +
+                   trace::traceparent(trail.context.trace, attempt->exchange->span, trail.context.sampled) +
+                   "'*/";
+    attempt->statement = std::make_shared<const sql::Statement>(std::move(marked));
+  }
   if (attempt->exchange->most_bytes > 0) attempt->content.table = std::make_shared<sql::Table>();
   attempts_.emplace(std::pair(order.ticket, order.attempt), attempt);
   launch(attempt);
@@ -264,6 +281,7 @@
     return tell(Probed{attempt->engine, verdict.client_gets_error ? Result::error : verdict.result,
                        steady_now() - attempt->started, std::move(attempt->load)});
   metrics_.attempts[static_cast<std::size_t>(verdict.result)]->Increment();
+  trace_attempt(*attempt, verdict.result, code);
   if (!verdict.client_gets_error) attempt->content.sqlstate.clear(), attempt->content.error.clear();
   if (verdict.result == Result::served && attempt->exchange)
     attempt->exchange->contents[attempt->number] = std::move(attempt->content);
@@ -358,6 +376,7 @@
   const auto exchange = this->exchange(order.ticket);
   if (!exchange) return;
   forget(exchange);
+  trace_choice(*this, *exchange, order.knew, 0);
   const auto problem = router::problem_of(order);
   auto& counts = metrics_.classes[exchange->cls];
   using router::Ending;
--- a/src/daemon/shard.hpp
+++ b/src/daemon/shard.hpp
@@ -7,6 +7,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <memory>
+#include <pcg_random.hpp>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -24,6 +25,7 @@
 #include "sql/result.hpp"
 #include "sql/session.hpp"
 #include "sql/table.hpp"
+#include "trace/tracer.hpp"
 
 namespace heronwell::daemon {
 
@@ -132,13 +134,18 @@
   std::string buffered;  // while earlier answers of the connection are not whole
   std::map<AttemptIndex, Content> contents;
   unsigned attempts = 0;
-  EngineId engine = 0;  // of the last attempt
+  EngineId engine = 0;    // of the last attempt
+  trace::TrailPtr trail;  // null: not traced
+  trace::SpanId span = 0;
+  std::string trace_response, field;  // field: of a statement
+  Time held_since{}, stream_since{};
 };
 struct Attempt {
   Ticket ticket = 0;  // 0: a probe
   AttemptIndex number = 0;
   EngineId engine = 0;
-  Time started{}, until{};
+  Time started{}, until{}, sent{};  // sent: first byte of the statement; zero: none
+  bool dialled = false;             // on a connection opened for it
   ExchangePtr exchange;
   std::shared_ptr<const sql::Statement> statement;
   std::vector<std::pair<std::string, std::string>> settings;
@@ -164,7 +171,8 @@
 
 class Shard {
  public:
-  Shard(const Config& config, Metrics& metrics, const router::Front& front, unsigned index, unsigned shards);
+  Shard(const Config& config, Metrics& metrics, const router::Front& front, trace::Tracer& tracer,
+        unsigned index, unsigned shards);
   ~Shard();
 
   asio::io_context& context() { return context_; }
@@ -190,6 +198,8 @@
   [[nodiscard]] const Config& config() const { return config_; }
   [[nodiscard]] const router::Front& front() const { return front_; }
   Metrics& metrics() { return metrics_; }
+  trace::Tracer& tracer() { return tracer_; }
+  std::uint64_t drawn();                   // 64 random bits, for the ids of traces
   Graphql* graphql() { return graphql_; }  // null: not served
   EnginePool* pool(EngineId id);
   [[nodiscard]] std::size_t pool_cap() const { return pool_cap_; }
@@ -219,6 +229,8 @@
   const Config& config_;
   Metrics& metrics_;
   const router::Front& front_;
+  trace::Tracer& tracer_;
+  pcg64 random_;
   unsigned index_;
   std::size_t pool_cap_;
   asio::io_context context_{1};
--- a/src/graphql/documents.cpp
+++ b/src/graphql/documents.cpp
@@ -16,9 +16,13 @@
 std::shared_ptr<const Prepared> prepare(const Schema& schema, std::string_view text, const Limits& limits) {
   auto made = std::make_shared<Prepared>();
   made->bytes = sizeof(Prepared) + text.size() * kNodeFactor;
+  const auto now = [] { return std::chrono::steady_clock::now().time_since_epoch(); };
+  const auto began = now();
   try {
     made->document = parse(text, limits);
+    made->parsing = now() - began;
     made->errors = validate(schema, made->document, limits);
+    made->validating = now() - began - made->parsing;
   } catch (const Error& error) {
     made->errors = {{"", error.what(), {error.place}}};
   }
@@ -53,7 +57,7 @@
   }
 }
 
-std::shared_ptr<const Prepared> Documents::get(const std::string& text) {
+std::shared_ptr<const Prepared> Documents::get(const std::string& text, bool* fresh) {
   const auto key = "d" + text;
   {
     const std::lock_guard lock(mutex_);
@@ -64,6 +68,7 @@
     ++counts_.misses;
   }
   auto made = prepare(schema_, text, limits_);
+  if (fresh != nullptr) *fresh = true;
   const std::lock_guard lock(mutex_);
   keep({key, "", made, made->bytes + key.size()});
   return made;
--- a/src/graphql/documents.hpp
+++ b/src/graphql/documents.hpp
@@ -11,6 +11,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "base/time.hpp"
 #include "graphql/document.hpp"
 #include "graphql/schema.hpp"
 #include "graphql/validate.hpp"
@@ -21,6 +22,7 @@
   Document document;
   std::vector<Violation> errors;  // empty: valid. Those of parsing have no rule
   std::size_t bytes = 0;          // about, of memory
+  Time parsing{}, validating{};   // took so long, once
 };
 std::shared_ptr<const Prepared> prepare(const Schema& schema, std::string_view text, const Limits& limits);
 
@@ -32,7 +34,7 @@
   Documents(const Schema& schema, Limits limits, std::size_t most)
       : schema_(schema), limits_(limits), most_(most) {}
 
-  std::shared_ptr<const Prepared> get(const std::string& text);
+  std::shared_ptr<const Prepared> get(const std::string& text, bool* fresh = nullptr);
   void persist(const std::string& sha256, const std::string& text);
   std::optional<std::string> persisted(const std::string& sha256);  // the text
 
--- a/src/router/host.cpp
+++ b/src/router/host.cpp
@@ -53,6 +53,7 @@
   auto& request = requests_[id];
   request.ticket = ask.ticket;
   request.deadline = now + ask.asked.time_left;
+  request.cls = ask.asked.cls;
   tickets_.emplace(ask.ticket, id);
   deadlines_.emplace(request.deadline, id);
   auto asked = ask.asked;
@@ -77,6 +78,10 @@
 void Host::end_attempt(RequestId id, Request& request, std::size_t n, Outcome outcome) {
   auto& attempt = request.attempts[n];
   attempt.ended = true;
+  if (const auto out = out_.find(attempt.engine); out != out_.end()) {
+    out->second -= std::min(out->second, settings_.classes[request.cls].threads);
+    if (out->second == 0) out_.erase(out);
+  }
   attempt.result = outcome.result;
   untils_.erase({attempt.until, id, n});
   outcome.request = id;
@@ -205,9 +210,21 @@
   forget_ended();
 }
 
+std::optional<Knew> Host::knew(const Request& request, EngineId engine) const {
+  if (!explain_) return std::nullopt;
+  Knew knew;
+  knew.cls = gateway_.view(request.cls);
+  knew.pool = gateway_.pool();
+  const auto out = out_.find(engine);
+  knew.engine = out == out_.end() ? 0 : out->second;
+  knew.engines_out = static_cast<unsigned>(out_.size());
+  return knew;
+}
+
 void Host::settle(RequestId id, Request& request, Ending ending, Time pause, std::vector<Command>& out) {
   Answer answer{
-      request.ticket, ending, pause, Result::moot, static_cast<unsigned>(request.attempts.size()), true};
+      request.ticket, ending,          pause, Result::moot, static_cast<unsigned>(request.attempts.size()),
+      true,           knew(request, 0)};
   for (const auto& attempt : request.attempts) {
     answer.last = attempt.ended ? attempt.result : Result::timed_out;
     answer.proven_unrun = answer.proven_unrun && attempt.ended && proves_unrun(attempt.result);
@@ -227,6 +244,8 @@
   const auto n = request.attempts.size();
   const auto until = std::min(send.until, request.deadline);
   request.attempts.push_back({send.engine, now, until});
+  auto before = knew(request, send.engine);
+  out_[send.engine] += settings_.classes[request.cls].threads;
   // Not transmitted: the request is over or bound to a stream, or its time has passed.
   if (request.state == RequestState::answered || request.state == RequestState::streaming || until <= now) {
     Outcome outcome;
@@ -237,8 +256,8 @@
   untils_.emplace(until, send.request, n);
   ++counters_.sends;
   if (n > 0) ++counters_.further;
-  out.emplace_back(
-      StartAttempt{request.ticket, static_cast<AttemptIndex>(n), send.engine, until, request.terms});
+  out.emplace_back(StartAttempt{request.ticket, static_cast<AttemptIndex>(n), send.engine, until,
+                                request.terms, std::move(before)});
 }
 
 void Host::carry_out(Time now, const Action& action, std::vector<Command>& out) {
--- a/src/router/host.hpp
+++ b/src/router/host.hpp
@@ -42,12 +42,20 @@
 };
 
 // ---- commands, to be carried out in order ----------------------------------------------------------------
+// What the module and its host knew when something was chosen; for traces. Empty unless explain() asked.
+struct Knew {
+  ClassView cls;             // the request's class
+  double pool = 0;           // threads
+  unsigned engine = 0;       // threads that this gateway has out on the engine
+  unsigned engines_out = 0;  // engines on which this gateway has any
+};
 struct StartAttempt {
   Ticket ticket = 0;
   AttemptIndex attempt = 0;
   EngineId engine = 0;
   Time until{};
   std::optional<Terms> terms;
+  std::optional<Knew> knew;
 };
 struct StopAttempt {  // cancel it at the engine, or drop it while dialling; its end is told all the same
   Ticket ticket = 0;
@@ -72,6 +80,7 @@
   Result last = Result::moot;  // of its last attempt
   unsigned attempts = 0;
   bool proven_unrun = true;  // no attempt can have run
+  std::optional<Knew> knew;
 };
 struct ProbeEngine {
   EngineId engine = 0;
@@ -132,6 +141,7 @@
   // When run() is next due if nothing happens; a moment in the past means at once.
   [[nodiscard]] Time next_due() const;
 
+  void explain(bool on) { explain_ = on; }
   [[nodiscard]] std::size_t open() const { return open_; }
   [[nodiscard]] std::size_t remembered() const { return requests_.size(); }
   [[nodiscard]] const Counters& counters() const { return counters_; }
@@ -148,6 +158,7 @@
   struct Request {
     Ticket ticket = 0;
     RequestState state = RequestState::held;
+    ClassIndex cls = 0;
     Time deadline{};
     std::optional<Terms> terms;
     std::vector<Attempt> attempts;
@@ -163,6 +174,7 @@
   void carry_out(Time now, const Action& action, std::vector<Command>& out);
   void send(Time now, const Send& send, std::vector<Command>& out);
   void forget_ended();
+  [[nodiscard]] std::optional<Knew> knew(const Request& request, EngineId engine) const;
 
   Settings settings_;
   Gateway gateway_;
@@ -177,6 +189,8 @@
   std::vector<Command> early_;  // what follows from an event by itself, carried out before the module's
   std::vector<RequestId> maybe_over_;
   std::size_t open_ = 0;
+  bool explain_ = false;
+  std::map<EngineId, unsigned> out_;  // threads out
   Counters counters_;
 };
 
