--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -149,12 +149,12 @@
   rehearsal::Recorder recorder(record, "clients", "clients");
   const auto r = rehearsal::play(day, to, start > 0 ? Time(start) : rehearsal::steady_clock_now(), recorder);
   recorder.whole(rehearsal::steady_clock_now());
-  std::cout
-      << fmt::format(
-             "sent {} served {} refused {} failed {} other {} broken {} unconnected {} hung_up {} late_ns {}",
-             r.sent, r.served, r.refused, r.failed, r.other, r.broken, r.unconnected, r.hung_up,
-             r.worst_lateness.count())
-      << std::endl;
+  std::cout << fmt::format(
+                   "sent {} served {} refused {} failed {} other {} broken {} unconnected {} hung_up {} "
+                   "late_ns {} resent {}",
+                   r.sent, r.served, r.refused, r.failed, r.other, r.broken, r.unconnected, r.hung_up,
+                   r.worst_lateness.count(), r.resent)
+            << std::endl;
   return kDone;
 }
 
@@ -187,9 +187,10 @@
   const auto day = rehearsal::read_day(file);
   const auto r = rehearsal::run_day(day, folder, std::filesystem::read_symlink("/proc/self/exe"));
   std::cout << fmt::format(
-      "sent {}, served {}, refused {}, failed {}, other {}, broken {}, unconnected {}, hung up {}; generator "
+      "sent {}, served {}, refused {}, failed {}, other {}, broken {}, unconnected {}, hung up {}, repeated "
+      "by key {}; generator "
       "late by {:.1f} ms at most\n",
-      r.sent, r.served, r.refused, r.failed, r.other, r.broken, r.unconnected, r.hung_up,
+      r.sent, r.served, r.refused, r.failed, r.other, r.broken, r.unconnected, r.hung_up, r.resent,
       milliseconds(r.worst_lateness));
   std::cout << "records in " << folder << "; heronwell audit " << folder << std::endl;
   return kDone;
--- a/src/rehearsal/audit.cpp
+++ b/src/rehearsal/audit.cpp
@@ -193,6 +193,13 @@
       broke(1, id, asked.gateway, "", time(j), "bytes after the final answer");
       return;
     }
+    if (event == "resent" ||
+        event == "reanswered") {  // under its idempotency key: counts for the same request
+      if (event == "reanswered" && !j.at("whole").get<bool>() &&
+          !down(asked.gateway, time(j) - 10 * kSlack, time(j)))
+        broke(1, id, asked.gateway, "", time(j), "its repeat by key got no answer");
+      return;
+    }
     ++asked.ends;
     asked.end = std::min(asked.end, time(j));
     if (event == "answer") asked.answers.push_back({time(j), j.at("status").get<int>(), text(j, "outcome")});
@@ -308,6 +315,9 @@
                 fmt::format("{:.0f} ms after its deadline",
                             static_cast<double>(answer.at - asked.sent - asked.deadline) / 1e6));
         const auto& tries = attempts(id);
+        for (const auto& a : tries)
+          if (a.read > answer.at + kSlack && !hung(a.engine, a.read - 10 * kSlack, a.read))
+            broke(1, id, asked.gateway, a.engine, a.read, "a statement was sent after the final answer");
         if (answer.status == 200 && std::ranges::none_of(tries, &Attempt::sent))
           broke(1, id, asked.gateway, "", answer.at, "told served, though no engine sent an answer");
       }
--- a/src/rehearsal/day.cpp
+++ b/src/rehearsal/day.cpp
@@ -104,9 +104,9 @@
     std::int64_t late = 0;
     std::sscanf(line.c_str(),
                 "sent %lu served %lu refused %lu failed %lu other %lu broken %lu unconnected %lu hung_up %lu "
-                "late_ns %ld",
+                "late_ns %ld resent %lu",
                 &r.sent, &r.served, &r.refused, &r.failed, &r.other, &r.broken, &r.unconnected, &r.hung_up,
-                &late);
+                &late, &r.resent);
     r.worst_lateness = Time(late);
     return r;
   }
--- a/src/rehearsal/load.cpp
+++ b/src/rehearsal/load.cpp
@@ -14,7 +14,7 @@
 using namespace std::chrono_literals;
 constexpr Time kPatience = 5s;       // past its deadline, before a client records that no answer came
 constexpr Time kUsualPause = 200ms;  // before a retry, where the answer does not say
-constexpr std::size_t kKeptBody = 4096;
+constexpr std::size_t kKeptBody = 1 << 20;
 
 struct Connection {
   explicit Connection(asio::io_context& context) : socket(context.get_executor()) {}
@@ -76,6 +76,12 @@
     const auto& cls = day_.settings.classes[ask.cls];
     const auto& load = day_.loads[ask.cls];
     const auto id = retry == 0 ? fmt::format("q{}", ask.number) : fmt::format("q{}.{}", ask.number, retry);
+    // By GraphQL one request is several statements, each with an id of its own in the records.
+    std::vector<std::string> ids{id};
+    for (unsigned i = 1; i < load.fields; ++i) ids.push_back(fmt::format("{}~{}", id, i));
+    const auto each = [&](std::string_view event, const std::string& with = "") {
+      for (const auto& one : ids) write(event, one, with);
+    };
     const auto deadline = std::min(load.timeout.value_or(cls.give_up), cls.give_up);
     boost::system::error_code error;
     Ptr c;
@@ -88,20 +94,29 @@
       co_await c->socket.async_connect(loopback(ports_[ask.gateway]), asio::redirect_error(kToken, error));
       if (error) {
         ++report_.unconnected;
-        write("unconnected", id, fmt::format(R"("gw":"gw-{}","cls":"{}")", ask.gateway, cls.name));
+        each("unconnected", fmt::format(R"("gw":"gw-{}","cls":"{}")", ask.gateway, cls.name));
         co_return;
       }
       c->socket.set_option(asio::ip::tcp::no_delay(true), error);
     }
     std::string out;
-    const auto body = body_of(day_, ask, id, retry > 0);
+    const bool graphql = load.fields > 0;
+    const auto body = graphql ? graphql_body_of(day_, ask, ids) : body_of(day_, ask, id, retry > 0);
     const auto timeout = std::to_string(deadline / 1ms);
     std::vector<http::Field> more;
     if (load.timeout) more.push_back({"heronwell-timeout-ms", timeout});
-    http::put_request(out, "POST", "/v1/query", "127.0.0.1", body, more);
+    const auto idempotency = "\"" + id + "\"";
+    if (graphql) {
+      more.push_back({"accept", "application/graphql-response+json"});
+      if (!load.timeout) more.push_back({"heronwell-timeout-ms", timeout});
+      if (!day_.settings.tenants.empty())
+        more.push_back({"x-tenant", day_.settings.tenants[ask.tenant].name});
+      if (cls.effect != Effect::safe) more.push_back({"idempotency-key", idempotency});
+    }
+    http::put_request(out, "POST", graphql ? "/graphql" : "/v1/query", "127.0.0.1", body, more);
     ++report_.sent;
-    write(
-        "sent", id,
+    each(
+        "sent",
         fmt::format(
             R"("gw":"gw-{}","cls":"{}","tenant":{},"key":{},"group":{},"deadline_ms":{},"work_ms":{:.3f},"first":"q{}")",
             ask.gateway, cls.name, ask.tenant, ask.key, ask.group, timeout, ask.work_ms, ask.number));
@@ -141,24 +156,45 @@
     limit.cancel();
     if (gave_up) {
       ++(ask.hang_up ? report_.hung_up : report_.broken);
-      write(ask.hang_up ? "hung_up" : "gave_up", id);
+      each(ask.hang_up ? "hung_up" : "gave_up");
       co_return;
     }
     if (!whole) {
       ++report_.broken;
-      write("broken", id, fmt::format(R"("head":{},"bytes":{})", head, bytes));
+      each("broken", fmt::format(R"("head":{},"bytes":{})", head, bytes));
       co_return;
     }
     const int status = c->parser.status();
-    const auto json = status == 200 ? nlohmann::json() : nlohmann::json::parse(answer, nullptr, false);
+    const auto ms = std::chrono::duration<double, std::milli>(steady_clock_now() - sent).count();
+    const auto answered = [&](const std::string& one, int code, const std::string& what) {
+      write("answer", one,
+            fmt::format(R"("status":{},"outcome":"{}","ms":{:.3f},"bytes":{})", code, what, ms, bytes));
+      ++(what == "served"    ? report_.served
+         : what == "refused" ? report_.refused
+         : what == "failed"  ? report_.failed
+                             : report_.other);
+    };
+    const auto json =
+        status == 200 && !graphql ? nlohmann::json() : nlohmann::json::parse(answer, nullptr, false);
+    if (graphql) {
+      bool unknown = false;
+      for (std::size_t i = 0; i < ids.size(); ++i) {
+        const auto what = outcome_of(json, fmt::format("f{}", i));
+        unknown = unknown || what == "failed";
+        answered(ids[i], what == "served" ? 200 : status == 200 ? 502 : status, what);
+      }
+      const bool clean = c->buffer.empty() && c->parser.keep_alive();
+      if (!c->buffer.empty()) each("extra");
+      // The client's own repeat under its key, to the same process: nothing of it may run a second time.
+      if (clean && unknown && cls.effect == Effect::unsafe) co_await repeat(c, out, id);
+      if (clean) {
+        idle.push_back(c);
+        watch(c, ask.gateway, id);
+      }
+      co_return;
+    }
     const auto outcome = status == 200 ? "served" : json.is_object() ? json.value("outcome", "?") : "?";
-    write("answer", id,
-          fmt::format(R"("status":{},"outcome":"{}","ms":{:.3f},"bytes":{})", status, outcome,
-                      std::chrono::duration<double, std::milli>(steady_clock_now() - sent).count(), bytes));
-    ++(outcome == "served"    ? report_.served
-       : outcome == "refused" ? report_.refused
-       : outcome == "failed"  ? report_.failed
-                              : report_.other);
+    answered(id, status, outcome);
     if (!c->buffer.empty()) {
       write("extra", id);
     } else if (c->parser.keep_alive()) {
@@ -175,6 +211,49 @@
     spawn(ask, retry + 1);
   }
 
+  static std::string outcome_of(const nlohmann::json& json, const std::string& field) {
+    if (!json.is_object()) return "?";
+    if (json.contains("data") && json["data"].is_object() &&
+        json["data"].value(field, nlohmann::json()).is_string())
+      return "served";
+    for (const auto& error : json.value("errors", nlohmann::json::array())) {
+      const auto path = error.value("path", nlohmann::json::array());
+      if (!path.empty() && path[0] != field) continue;
+      const auto extensions = error.value("extensions", nlohmann::json::object());
+      const auto code = extensions.value("code", "");
+      if (code == "NOT_STARTED" || code == "STATEMENT_REFUSED") return "refused";
+      return extensions.value("outcome", "?");
+    }
+    return "?";
+  }
+
+  // Sends the same bytes again and waits for whatever comes.
+  asio::awaitable<void, Executor> repeat(const Ptr& c, const std::string& bytes, const std::string& id) {
+    write("resent", id);
+    boost::system::error_code error;
+    co_await asio::async_write(c->socket, asio::buffer(bytes), asio::redirect_error(kToken, error));
+    std::array<char, 16384> chunk{};
+    Timer limit(context_.get_executor(), at(steady_clock_now() + kPatience));
+    limit.async_wait([c](boost::system::error_code aborted) {
+      boost::system::error_code ignored;
+      if (!aborted) c->socket.close(ignored);
+    });
+    bool whole = false;
+    while (!error && !whole) {
+      const auto step = c->parser.next(c->buffer);
+      c->buffer.erase(0, step.consumed);
+      whole = step.event == http::Parser::Event::end && c->parser.status() >= 200;
+      if (step.event == http::Parser::Event::error) error = asio::error::invalid_argument;
+      if (step.event != http::Parser::Event::need_more || error) continue;
+      const auto got =
+          co_await c->socket.async_read_some(asio::buffer(chunk), asio::redirect_error(kToken, error));
+      c->buffer.append(chunk.data(), got);
+    }
+    limit.cancel();
+    write("reanswered", id, fmt::format(R"("whole":{},"status":{})", whole, whole ? c->parser.status() : 0));
+    ++report_.resent;
+  }
+
   // Nothing may come on a connection that owes nothing.
   void watch(const Ptr& c, unsigned gateway, const std::string& id) {
     c->socket.async_wait(Socket::wait_read, [this, c, gateway, id](boost::system::error_code error) {
--- a/src/rehearsal/load.hpp
+++ b/src/rehearsal/load.hpp
@@ -12,7 +12,7 @@
 
 struct LoadReport {
   std::uint64_t sent = 0, served = 0, refused = 0, failed = 0, other = 0, broken = 0, unconnected = 0,
-                hung_up = 0;
+                hung_up = 0, resent = 0;
   Time worst_lateness{};  // of the generator
 };
 
--- a/src/rehearsal/plan.cpp
+++ b/src/rehearsal/plan.cpp
@@ -74,6 +74,7 @@
   load.estimates = section.number("estimates", 0, 0, 3);
   if (section.has("timeout")) load.timeout = section.duration("timeout");
   load.keys = section.count("keys", 0, 0, 1'000'000);
+  load.fields = static_cast<unsigned>(section.count("graphql_fields", 0, 0, 100));
   section.close();
   return load;
 }
@@ -135,6 +136,10 @@
     day.tenants.push_back(weights.number(tenant.name, tenant.share, 0, 1e6));
   weights.close();
   clients.close();
+  if (const auto schema = schema_of(day); !schema.empty()) {
+    whole["router"]["graphql"]["sdl"] = schema;
+    day.router = YAML::Dump(whole["router"]);
+  }
   for (auto& section : file.sections("troubles")) day.troubles.push_back(read_trouble(section, day));
   file.close();
   return day;
@@ -216,4 +221,43 @@
   return body + "}";
 }
 
+std::string schema_of(const Day& day) {
+  std::string query, mutation;
+  for (std::size_t c = 0; c < day.loads.size(); ++c) {
+    const auto& load = day.loads[c];
+    const auto& cls = day.settings.classes[c];
+    if (load.fields == 0) continue;
+    auto name = cls.name;
+    std::ranges::replace(name, '-', '_');
+    const std::string tenant = day.settings.tenants.empty() ? "" : " tenant: \"header x-tenant\"";
+    (cls.effect == Effect::safe ? query : mutation) += fmt::format(
+        "  {}(id: ID!, work: Float!, need: Float!, group: Int!, key: Int!): String @sql(statement: \"select "
+        ":id, :work, :need, :group, :key, :idempotency_key /*hw id=$1 work_ms=$2 need_mb=$3 group=$4 "
+        "threads={} io={} "
+        "holds={} waits={} rows={} bytes={}*/\" class: \"{}\" group: \"group\"{}{})\n",
+        name, cls.threads, load.io, cls.holds_group ? 1 : 0, cls.waits_for_group ? 1 : 0, load.rows,
+        load.bytes, cls.name, load.keys > 0 ? " key: \"key\"" : "", tenant);
+  }
+  if (query.empty() && mutation.empty()) return "";
+  if (query.empty())
+    query = "  none: Int @sql(statement: \"select 1\" class: \"" + day.settings.classes[0].name + "\")\n";
+  return "type Query {\n" + query + "}\n" + (mutation.empty() ? "" : "type Mutation {\n" + mutation + "}\n");
+}
+
+std::string graphql_body_of(const Day& day, const Ask& ask, const std::vector<std::string>& ids) {
+  const auto& cls = day.settings.classes[ask.cls];
+  auto name = cls.name;
+  std::ranges::replace(name, '-', '_');
+  std::string declared, fields, variables;
+  for (std::size_t i = 0; i < ids.size(); ++i) {
+    declared += fmt::format("$i{}:ID!", i);
+    fields += fmt::format(" f{0}:{1}(id:$i{0} work:$w need:$n group:$g key:$k)", i, name);
+    variables += fmt::format(R"("i{}":"{}",)", i, ids[i]);
+  }
+  return fmt::format(
+      R"({{"query":"{} A({}$w:Float!$n:Float!$g:Int!$k:Int!){{{}}}","variables":{{{}"w":{:.3f},"n":{:.1f},"g":{},"k":{}}}}})",
+      cls.effect == Effect::safe ? "query" : "mutation", declared, fields, variables, ask.work_ms,
+      ask.memory_mb, ask.group, ask.key);
+}
+
 }  // namespace heronwell::rehearsal
--- a/src/rehearsal/plan.hpp
+++ b/src/rehearsal/plan.hpp
@@ -25,6 +25,7 @@
   double estimates = 0;         // 0: none given; else by how much they scatter (a log-normal's sigma)
   std::optional<Time> timeout;  // sent with each request; none: the class's give-up time holds
   std::uint64_t keys = 0;       // order keys; 0: none
+  unsigned fields = 0;          // of one GraphQL document, a statement each; 0: by /v1/query
 };
 
 enum class TroubleKind {
@@ -94,5 +95,9 @@
 std::vector<Ask> draw(const Day& day);
 // The statement and the JSON body of a request.
 std::string body_of(const Day& day, const Ask& ask, const std::string& id, bool repeat);
+// The schema that a day's routers serve, a field for each class that clients ask by GraphQL; empty: none do.
+std::string schema_of(const Day& day);
+// The GraphQL request for statements with these ids: fields f0, f1 ...
+std::string graphql_body_of(const Day& day, const Ask& ask, const std::vector<std::string>& ids);
 
 }  // namespace heronwell::rehearsal
