--- a/src/daemon/graphql.cpp
+++ b/src/daemon/graphql.cpp
@@ -324,16 +324,13 @@
   ended(exchange, std::move(reply));
 }
 
-void GraphqlRequest::unserved(const ExchangePtr& exchange, const router::Problem& problem) {
-  graphql::Reply reply;
-  auto& trouble = reply.trouble.emplace();
-  const auto& cls = shard_.config().module.classes[exchange->cls];
+graphql::Trouble trouble_of(const router::Problem& problem, const ClassSettings& cls, bool client_key) {
   const bool safe = cls.effect == Effect::safe;
   // A keyed statement that may have run can be refused, as its repeat does no harm; that holds for the
   // client's own repeat only where it brings the key again.
-  const bool keyed =
-      cls.effect == Effect::keyed && cls.group == RepeatGroup::all && headers_.contains("idempotency-key");
+  const bool keyed = cls.effect == Effect::keyed && cls.group == RepeatGroup::all && client_key;
   const bool unknown = !safe && !problem.proven_unrun && !(keyed && problem.outcome == "refused");
+  graphql::Trouble trouble;
   trouble.code = unknown                        ? "OUTCOME_UNKNOWN"
                  : problem.outcome == "refused" ? "STATEMENT_REFUSED"
                                                 : "STATEMENT_FAILED";
@@ -343,6 +340,13 @@
   trouble.may_have_run = unknown;
   trouble.pause = problem.pause;
   trouble.attempts = problem.attempts;
+  return trouble;
+}
+
+void GraphqlRequest::unserved(const ExchangePtr& exchange, const router::Problem& problem) {
+  graphql::Reply reply;
+  reply.trouble = trouble_of(problem, shard_.config().module.classes[exchange->cls],
+                             headers_.contains("idempotency-key"));
   pause_ = std::max(pause_, problem.pause);
   ended(exchange, std::move(reply));
 }
--- a/src/daemon/graphql.hpp
+++ b/src/daemon/graphql.hpp
@@ -47,6 +47,10 @@
 // Reads the schema that the configuration names. Throws yaml::Error.
 std::unique_ptr<graphql::Bound> load_schema(const Config& config);
 
+// What a request to the module that was not served is to the field that asked. `client_key`: the client named
+// an idempotency key, so that its own repeat of a keyed statement will carry it again.
+graphql::Trouble trouble_of(const router::Problem& problem, const ClassSettings& cls, bool client_key);
+
 class GraphqlRequest final : public Asker, public std::enable_shared_from_this<GraphqlRequest> {
  public:
   using Headers = std::map<std::string, std::string, std::less<>>;
--- a/tests/e2e/graphql_test.cpp
+++ b/tests/e2e/graphql_test.cpp
@@ -336,5 +336,51 @@
   for (int i = 0; i < 12; ++i) EXPECT_EQ(ask(rig, "{item(id:1){id}}").body["data"]["item"]["id"], "1");
 }
 
+// ---- traces --------------------------------------------------------------------------------------------
+std::vector<std::string> trace_lines(const std::string& file) {
+  std::ifstream in(file);
+  std::vector<std::string> lines;
+  for (std::string line; std::getline(in, line);) lines.push_back(line);
+  return lines;
+}
+std::string followed(const std::string& file, const std::string& id) {
+  std::size_t malformed = 0;
+  const auto text = trace::timeline(trace_lines(file), id, malformed);
+  EXPECT_EQ(malformed, 0U);
+  return text;
+}
+
+TEST(GraphqlTraceTest, OneRequestIsFollowedThroughEachStepAndARetry) {
+  const auto file =
+      std::filesystem::temp_directory_path() / fmt::format("heronwell-e2e-{}.jsonl", ::getpid());
+  std::string id;
+  std::size_t kept = 0;
+  {
+    auto with = options();
+    with.settings += fmt::format("trace: {{file: {}, sample: 0, comment: true}}\n", file.string());
+    Rig rig(with);
+    rig.fault(0, "reset_before 1");
+    for (int i = 0; i < 30 && rig.seen("read", fmt::format("r{}", i - 1), 0) == 0; ++i) {
+      id = fmt::format("0af7651916cd43dd8448eb211c8031{:02x}", i);
+      const auto told = ask(rig, fmt::format("{{item(id:\"r{}\"){{id parts{{text}}}}}}", i),
+                            "traceparent: 00-" + id + "-b7ad6b7169203331-01\r\n");
+      EXPECT_EQ(told.status, 200);
+      ++kept;
+    }
+    rig.fault(0, "reset_before 0");
+    EXPECT_EQ(ask(rig, "{item(id:\"quiet\"){id}}").status, 200);
+    EXPECT_EQ(ask(rig, "{item(id:\"bad\" work:3000){id}}", "heronwell-timeout-ms: 100\r\n").code(),
+              "STATEMENT_REFUSED");
+  }
+  const auto text = followed(file, id);
+  for (const auto* step : {"request  on gw", "  parse", "  validate", "  plan", "  statement item",
+                           "    hold", "    choice", "class.budget_threads=", "    dial", "    attempt !",
+                           "result=reset", "result=served", "  statement parts", "attempts=1"})
+    EXPECT_NE(text.find(step), std::string::npos) << step << "\n" << text;
+  EXPECT_EQ(trace_lines(file).size(), 2U)
+      << "those their caller keeps, and the refused one; not the quiet one";
+  std::filesystem::remove(file);
+}
+
 }  // namespace
 }  // namespace heronwell::e2e
--- /dev/null
+++ b/tests/router/load_deaths_test.cpp
@@ -0,0 +1,200 @@
+// Loads by GraphQL through the real module and host, on virtual time and wires, with an engine dying at a
+// random moment around each: before the dial, while dialled, with the statement on its way, at work, after
+// the effect, with the answer on its way. What ran is counted where it ran.
+#include <gtest/gtest.h>
+
+#include <map>
+#include <pcg_random.hpp>
+#include <random>
+
+#include "daemon/graphql.hpp"
+#include "graphql/validate.hpp"
+#include "router/host.hpp"
+
+namespace heronwell::router {
+namespace {
+
+using namespace std::chrono_literals;
+
+Settings settings(Effect effect) {
+  Settings s;
+  s.classes = {{.name = "load", .aim = 500ms, .give_up = 4s, .effect = effect, .window = 60s}};
+  s.kinds = {{.name = "small", .cores = 4}};
+  s.max_attempts = 3;
+  s.may_call_off = true;
+  s.drain_grace = 500ms;
+  return s;
+}
+
+struct Sent {
+  std::string load;
+  Result result = Result::served;
+  bool written = false, took_effect = false;
+};
+
+class Played {
+ public:
+  Played(const graphql::Bound& bound, const graphql::Document& document, std::uint64_t seed, Effect effect)
+      : random_(seed), settings_(settings(effect)), host_(settings_, seed) {
+    Listing list;
+    for (EngineId id = 1; id <= 3; ++id) list.engines.push_back({.engine = id});
+    host_.listing(list);
+    graphql::Asked asked;
+    asked.deadline = now_ + 4s;
+    execution_.emplace(bound, document, document.definitions[0], std::move(asked), graphql::Bounds{});
+    std::vector<graphql::Call> calls;
+    execution_->start(now_, calls);
+    take(calls);
+    std::vector<Command> commands;
+    while (!execution_->done() && now_ < 110s) {
+      commands.clear();
+      host_.run(now_, commands);
+      for (const auto& command : commands) carry_out(command);
+      if (execution_->done()) break;
+      auto due = host_.next_due();
+      if (!ends_.empty()) due = std::min(due, ends_.begin()->first);
+      now_ = std::max(now_, due);
+      while (!ends_.empty() && ends_.begin()->first <= now_) {
+        const auto end = ends_.begin()->second;
+        ends_.erase(ends_.begin());
+        host_.attempt_ended(now_, end);
+      }
+    }
+    if (execution_->done()) response = execution_->response();
+  }
+
+  std::string response;
+  std::vector<Sent> sent;
+  unsigned deaths = 0;
+
+ private:
+  void take(std::vector<graphql::Call>& calls) {
+    for (auto& call : calls) {
+      Ask ask;
+      ask.ticket = call.id + 1;
+      ask.asked.time_left = call.deadline - now_;
+      loads_[ask.ticket] = *call.parameters.at(0);
+      host_.arrive(now_, ask);
+    }
+    calls.clear();
+  }
+  void ended(Ticket ticket, graphql::Reply reply) {
+    std::vector<graphql::Call> calls;
+    execution_->ended(now_, ticket - 1, std::move(reply), calls);
+    take(calls);
+  }
+  void carry_out(const Command& command) {
+    if (const auto* start = std::get_if<StartAttempt>(&command)) return attempt(*start);
+    if (const auto* deliver = std::get_if<Deliver>(&command)) {
+      auto table = std::make_shared<sql::Table>();
+      table->command = "INSERT 0 1";
+      return ended(deliver->ticket, {table, {}});
+    }
+    if (const auto* answer = std::get_if<Answer>(&command))
+      ended(answer->ticket, {nullptr, daemon::trouble_of(problem_of(*answer), settings_.classes[0], false)});
+  }
+  void attempt(const StartAttempt& start) {
+    auto& one = sent.emplace_back();
+    one.load = loads_.at(start.ticket);
+    const auto between = [this](double from, double to) {
+      return Time(static_cast<std::int64_t>(1e6 * std::uniform_real_distribution<double>(from, to)(random_)));
+    };
+    const Time dialled = between(0.2, 1), written = dialled + between(0, 0.1),
+               read = written + between(0.1, 0.5);
+    const Time effect = read + between(1, 40), answered = effect + between(0.1, 1);
+    Time at = answered;
+    // The first attempt always meets a death, from a little before it to a little after.
+    const bool dies = sent.size() == 1 || random_() % 2 == 0;
+    const Time death = between(-1, milliseconds(answered) + 1);
+    if (dies) {
+      ++deaths;
+      one.result = death < dialled    ? Result::not_connected
+                   : death < answered ? Result::reset
+                                      : Result::served;
+      at = one.result == Result::served ? answered : std::max<Time>(death, 100us);
+    }
+    one.written = !dies || death >= dialled;
+    one.took_effect = !dies || death >= effect;
+    ends_.emplace(
+        now_ + at,
+        AttemptEnd{.ticket = start.ticket, .attempt = start.attempt, .result = one.result, .at = now_ + at});
+  }
+
+  pcg64 random_;
+  Settings settings_;
+  Host host_;
+  Time now_ = 100s;
+  std::optional<graphql::Execution> execution_;
+  std::map<Ticket, std::string> loads_;
+  std::multimap<Time, AttemptEnd> ends_;
+};
+
+TEST(LoadDeathsTest, InTwoThousandDeathsAndMoreNoLoadRunsTwiceAndNoneIsToldWrongly) {
+  const graphql::Bound bound(
+      "type Query{a:Int @sql(statement:\"a\" class:\"q\")} type Mutation{load(id:ID!):Int "
+      "@sql(statement:\"load :id\" class:\"load\")}",
+      {{"load", false, false, 500ms}, {"q", true, false, 500ms}});
+  const auto document = graphql::parse("mutation{a:load(id:1) b:load(id:2)}");
+  ASSERT_TRUE(graphql::validate(bound.schema(), document).empty());
+  unsigned deaths = 0, unknown = 0, again = 0, lost_effect = 0, kept_effect = 0, not_started = 0;
+  for (std::uint64_t seed = 1; seed <= 2'500; ++seed) {
+    const Played run(bound, document, seed, Effect::unsafe);
+    deaths += run.deaths;
+    ASSERT_FALSE(run.response.empty()) << "seed " << seed << ": no final response";
+    std::map<std::string, unsigned> written, effects;
+    for (const auto& one : run.sent) {
+      written[one.load] += one.written ? 1 : 0;
+      effects[one.load] += one.took_effect ? 1 : 0;
+      again += one.result == Result::not_connected ? 1 : 0;
+    }
+    for (const auto& [load, times] : written) ASSERT_LE(times, 1U) << "seed " << seed << ": load " << load;
+    for (const auto& [load, times] : effects) ASSERT_LE(times, 1U) << "seed " << seed << ": load " << load;
+    const bool told_unknown = run.response.find("OUTCOME_UNKNOWN") != std::string::npos;
+    const bool a_served = run.response.find(R"("a":1)") != std::string::npos;
+    const bool a_unknown =
+        told_unknown &&
+        run.response.find(R"("path":["a"],"extensions":{"code":"OUTCOME_UNKNOWN")") != std::string::npos;
+    if (a_served) {
+      ASSERT_EQ(effects["1"], 1U) << "seed " << seed;
+    }
+    if (a_unknown) {
+      ASSERT_EQ(written["2"], 0U) << "seed " << seed << ": the second load was started";
+      ASSERT_NE(run.response.find("NOT_STARTED"), std::string::npos) << run.response;
+      ++not_started;
+      ++(effects["1"] == 1 ? kept_effect : lost_effect);
+    }
+    if (!a_served && !a_unknown) {
+      ASSERT_EQ(effects["1"], 0U) << "seed " << seed << ": told harmless, but it ran\n" << run.response;
+    }
+    unknown += told_unknown ? 1 : 0;
+  }
+  // The deaths fell on all sides: else this proves little.
+  EXPECT_GE(deaths, 2'500U);
+  EXPECT_GT(unknown, 500U);
+  EXPECT_GT(lost_effect, 300U);
+  EXPECT_GT(kept_effect, 10U);
+  EXPECT_GT(again, 50U);
+  RecordProperty("deaths", static_cast<int>(deaths));
+  RecordProperty("not_started", static_cast<int>(not_started));
+  RecordProperty("unknown_and_took_effect", static_cast<int>(kept_effect));
+}
+
+// The counting above must be able to fail: a class that may be repeated is sent again after a death.
+TEST(LoadDeathsTest, TheSameRunsOfASafeClassDoRunTwice) {
+  const graphql::Bound bound(
+      "type Query{a:Int @sql(statement:\"a\" class:\"load\")} type Mutation{load(id:ID!):Int "
+      "@sql(statement:\"load :id\" class:\"load\")}",
+      {{"load", true, false, 500ms}});
+  const auto document = graphql::parse("mutation{a:load(id:1) b:load(id:2)}");
+  unsigned twice = 0;
+  for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+    const Played run(bound, document, seed, Effect::safe);
+    std::map<std::string, unsigned> written;
+    for (const auto& one : run.sent) written[one.load] += one.written ? 1 : 0;
+    for (const auto& [load, times] : written) twice += times > 1 ? 1 : 0;
+  }
+  EXPECT_GT(twice, 20U);
+}
+
+}  // namespace
+}  // namespace heronwell::router
--- /dev/null
+++ b/tests/trace/trail_test.cpp
@@ -0,0 +1,155 @@
+#include "trace/trail.hpp"
+
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+#include <nlohmann/json.hpp>
+
+#include "trace/tracer.hpp"
+
+namespace heronwell::trace {
+namespace {
+
+using namespace std::chrono_literals;
+
+TEST(TraceparentTest, IsReadAsTheStandardHasIt) {
+  const std::string good = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01";
+  const auto read = read_traceparent(good);
+  ASSERT_TRUE(read);
+  EXPECT_EQ(read->trace.hex(), "0af7651916cd43dd8448eb211c80319c");
+  EXPECT_EQ(hex(read->parent), "b7ad6b7169203331");
+  EXPECT_TRUE(read->sampled);
+  EXPECT_EQ(traceparent(read->trace, read->parent, true), good);
+  EXPECT_FALSE(read_traceparent("00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-00")->sampled);
+  EXPECT_TRUE(read_traceparent("cc-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-03-what-comes"))
+      << "a later version";
+  for (const auto* bad : {"", "00", "ff-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01",
+                          "00-0AF7651916CD43DD8448EB211C80319C-b7ad6b7169203331-01",
+                          "00-00000000000000000000000000000000-b7ad6b7169203331-01",
+                          "00-0af7651916cd43dd8448eb211c80319c-0000000000000000-01",
+                          "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01-more",
+                          "cc-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01more",
+                          "00-0af7651916cd43dd8448eb211c80319g-b7ad6b7169203331-01",
+                          "00_0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"})
+    EXPECT_FALSE(read_traceparent(bad)) << bad;
+}
+
+TEST(HeadTest, KeepsItsPartAndTheSameTracesEverywhere) {
+  std::size_t kept = 0;
+  Trail trail({}, 1);
+  for (int i = 0; i < 10'000; ++i) {
+    const TraceId id{trail.fresh(), trail.fresh()};
+    kept += head_keeps(id, 0.1) ? 1 : 0;
+    EXPECT_FALSE(head_keeps(id, 0));
+    EXPECT_TRUE(head_keeps(id, 1));
+    EXPECT_LE(head_keeps(id, 0.1), head_keeps(id, 0.2));
+  }
+  EXPECT_NEAR(static_cast<double>(kept), 1000, 120);
+}
+
+Trail sample() {
+  Trail trail(*read_traceparent("00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"), 7);
+  auto* hold = trail.add("hold", trail.root, 1s, 2s);
+  hold->attributes = {
+      {"class", std::string("look\"up")}, {"queued", std::int64_t{3}}, {"budget", 1.5}, {"late", true}};
+  auto* attempt = trail.add("attempt", trail.root, 2s, 5s);
+  attempt->error = true;
+  auto* root = trail.add("request", trail.context.parent, 1s, 5s);
+  root->id = trail.root;
+  root->kind = Kind::server;
+  return trail;
+}
+
+TEST(OtlpTest, LinesAreTracesDataAsJson) {
+  const auto line = otlp_line(sample(), "gw-1", "0.2", 100s);
+  EXPECT_EQ(line.back(), '\n');
+  const auto json = nlohmann::json::parse(line);
+  const auto& resource = json["resourceSpans"][0];
+  EXPECT_EQ(resource["resource"]["attributes"][1]["value"]["stringValue"], "gw-1");
+  const auto& spans = resource["scopeSpans"][0]["spans"];
+  ASSERT_EQ(spans.size(), 3U);
+  EXPECT_EQ(spans[0]["traceId"], "0af7651916cd43dd8448eb211c80319c");
+  EXPECT_EQ(spans[0]["startTimeUnixNano"], "101000000000");
+  EXPECT_EQ(spans[0]["attributes"][0]["value"]["stringValue"], "look\"up");
+  EXPECT_EQ(spans[0]["attributes"][1]["value"]["intValue"], "3");
+  EXPECT_EQ(spans[0]["attributes"][2]["value"]["doubleValue"], 1.5);
+  EXPECT_EQ(spans[0]["attributes"][3]["value"]["boolValue"], true);
+  EXPECT_EQ(spans[1]["status"]["code"], 2);
+  EXPECT_EQ(spans[2]["parentSpanId"], "b7ad6b7169203331");
+  EXPECT_EQ(spans[0]["parentSpanId"], spans[2]["spanId"]);
+}
+
+TEST(TimelineTest, JoinsSeveralRoutersFilesAndPassesOverWhatIsNoOtlp) {
+  std::size_t malformed = 0;
+  const std::string id = "0af7651916cd43dd8448eb211c80319c";
+  const auto text = timeline({otlp_line(sample(), "gw-1", "", 100s), "{\"x\":\"" + id + "\"}",
+                              id + " no json", otlp_line(sample(), "gw-2", "", 200s)},
+                             id, malformed);
+  EXPECT_EQ(malformed, 2U);
+  EXPECT_NE(text.find("      0.000    4000.000  request  on gw-1"), std::string::npos) << text;
+  EXPECT_NE(text.find("   1000.000    3000.000    attempt !"), std::string::npos) << text;
+  EXPECT_EQ(timeline({otlp_line(sample(), "gw-1", "", 100s)}, std::string(32, 'a'), malformed), "");
+}
+
+TEST(TrailTest, SpansAreBoundedAndTheRestCounted) {
+  Trail trail({}, 1);
+  for (std::size_t i = 0; i < kMostSpans; ++i) ASSERT_NE(trail.add("hold", 0, 0s, 0s), nullptr);
+  EXPECT_EQ(trail.add("hold", 0, 0s, 0s), nullptr);
+  EXPECT_EQ(trail.left_out, 1U);
+}
+
+class TracerTest : public testing::Test {
+ protected:
+  TracerTest() { std::filesystem::remove(file); }
+  ~TracerTest() override {
+    std::filesystem::remove(file);
+    std::filesystem::remove(file + ".1");
+  }
+  std::size_t lines() const {
+    std::ifstream in(file);
+    std::size_t count = 0;
+    for (std::string line; std::getline(in, line);) ++count;
+    return count;
+  }
+  std::string file =
+      std::filesystem::temp_directory_path() / ("heronwell-trace-" + std::to_string(::getpid()));
+};
+
+TEST_F(TracerTest, KeepsTroubleWhateverTheHeadChose) {
+  {
+    Tracer tracer({file, 0, true}, "gw", "");
+    for (const bool trouble : {false, true, false}) {
+      const auto trail = tracer.begin("", 1, 2);
+      ASSERT_TRUE(trail);
+      trail->trouble = trouble;
+      tracer.finish(trail);
+    }
+    const auto asked = tracer.begin("00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01", 1, 2);
+    tracer.finish(asked);
+  }
+  EXPECT_EQ(lines(), 2U) << "the one in trouble, and the one whose caller keeps it";
+}
+
+TEST_F(TracerTest, CollectsNothingThatCanNotBeKept) {
+  const Tracer off({}, "gw", ""), head_only({file, 0, false}, "gw", "");
+  EXPECT_EQ(off.begin("00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01", 1, 2), nullptr);
+  EXPECT_EQ(head_only.begin("", 1, 2), nullptr);
+  EXPECT_NE(head_only.begin("00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01", 1, 2), nullptr);
+}
+
+TEST_F(TracerTest, AFileThatIsFullMakesRoomAndNothingIsLost) {
+  {
+    Tracer tracer({file, 1, true, 4096, 2000}, "gw", "");
+    for (int i = 0; i < 9; ++i) {
+      tracer.finish(std::make_shared<Trail>(sample()));
+      while (tracer.written() <= static_cast<std::uint64_t>(i)) std::this_thread::sleep_for(1ms);
+    }
+  }
+  EXPECT_LE(std::filesystem::file_size(file), 2000U);
+  EXPECT_TRUE(std::filesystem::exists(file + ".1"));
+}
+
+}  // namespace
+}  // namespace heronwell::trace
