Audit's GraphQL checks fail where they must: four kinds of broken records

A statement after the final answer, a load run again by its client's repeat, a repeat without an answer, a load told not started that ran: each is caught by its rule and no other.

--- a/tests/rehearsal/audit_test.cpp
+++ b/tests/rehearsal/audit_test.cpp
@@ -116,6 +116,49 @@
   fs::path folder;
 };
 
+// By GraphQL a request is several statements, and its client may repeat it under its key.
+TEST_F(AuditTest, AStatementAfterTheFinalAnswerBreaksRule1) {
+  sent(100, "q0", "lookup");
+  sent(100, "q0~1", "lookup");
+  ran(101, 120, 1, "q0");
+  answered(130, "q0");
+  answered(130, "q0~1", 502, "failed");
+  ran(400, 420, 1, "q0~1");
+  expect_broken(1, "a statement was sent after the final answer");
+}
+TEST_F(AuditTest, ALoadRunAgainByItsClientsRepeatUnderItsKeyBreaksRule2) {
+  sent(100, "q0", "load");
+  at(101, 1, "read", "q0");
+  began(101, 1, "q0");
+  at(110, 1, "closed", "q0");
+  answered(130, "q0", 502, "failed");
+  write("clients", 131, "resent", R"("id":"q0")");
+  ran(132, 140, 1, "q0");
+  write("clients", 141, "reanswered", R"("id":"q0","whole":true,"status":200)");
+  expect_broken(2, "ran twice");
+}
+TEST_F(AuditTest, ARepeatUnderAKeyWithoutAnAnswerBreaksRule1) {
+  sent(100, "q0", "load");
+  at(101, 1, "read", "q0");
+  began(101, 1, "q0");
+  at(110, 1, "closed", "q0");
+  answered(130, "q0", 502, "failed");
+  write("clients", 131, "resent", R"("id":"q0")");
+  write("clients", 5000, "reanswered", R"("id":"q0","whole":false,"status":0)");
+  expect_broken(1, "its repeat by key got no answer");
+}
+TEST_F(AuditTest, ALoadToldNotStartedThatRanBreaksRule2) {
+  sent(100, "q0", "load");
+  sent(100, "q0~1", "load");
+  at(101, 1, "read", "q0");
+  began(101, 1, "q0");
+  at(110, 1, "closed", "q0");
+  ran(102, 120, 0, "q0~1");
+  answered(130, "q0", 502, "failed");
+  answered(130, "q0~1", 502, "refused");
+  expect_broken(2, "refused, though it may have run");
+}
+
 TEST_F(AuditTest, KeepsWhatIsKept) {
   for (int i = 0; i < 10; ++i) lookup(100 * i, "a" + std::to_string(i));
   lookup(2000, "n", "near");
