Groups: selectors with templates, networks and RE2 patterns, in a room of their own

Shares will come from groups, and requests must fall into them by what is known of them, never in silence to the root. Rules in order on class, tenant, operation, root field, statement, subject, tag, headers and networks; a capture is one name of a path and never a path. Not linked into the program yet.

--- a/src/base/yaml.cpp
+++ b/src/base/yaml.cpp
@@ -136,6 +136,17 @@
 }
 
 bool Section::has(const std::string& key) { return get(key).IsDefined(); }
+Section::Shape Section::shape(const std::string& key) {
+  const auto node = get(key);
+  if (!node.IsDefined() || node.IsNull()) return Shape::none;
+  return node.IsScalar() ? Shape::text : node.IsSequence() ? Shape::list : Shape::mapping;
+}
+std::vector<std::string> Section::keys() const {
+  std::vector<std::string> all;
+  if (node_.IsDefined() && node_.IsMap())
+    for (const auto& entry : node_) all.push_back(entry.first.Scalar());
+  return all;
+}
 
 template <class T>
 T Section::scalar(const std::string& key, std::optional<T> fallback, const char* expected,
--- a/src/base/yaml.hpp
+++ b/src/base/yaml.hpp
@@ -37,6 +37,9 @@
   static Section text(const std::string& yaml, const std::string& name);
 
   [[nodiscard]] bool has(const std::string& key);
+  enum class Shape { none, text, list, mapping };
+  [[nodiscard]] Shape shape(const std::string& key);
+  [[nodiscard]] std::vector<std::string> keys() const;  // as written
   std::string string(const std::string& key);
   std::string string(const std::string& key, const std::string& fallback);
   bool boolean(const std::string& key, bool fallback);
--- /dev/null
+++ b/src/groups/selector.cpp
@@ -0,0 +1,322 @@
+#include "groups/selector.hpp"
+
+#include <arpa/inet.h>
+#include <fmt/format.h>
+#include <re2/re2.h>
+
+#include <algorithm>
+#include <charconv>
+#include <cstring>
+
+namespace heronwell::groups {
+namespace {
+
+constexpr std::int64_t kPatternMemory = 1 << 20;  // bytes, of one compiled pattern
+constexpr std::size_t kMostSegment = 64;          // bytes of a group's name
+const std::vector<std::string> kAttributes{"class",     "tenant",  "operation", "field",
+                                           "statement", "subject", "tag"};
+
+bool segment_char(char c) {
+  return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '_' || c == '-';
+}
+
+// The names within ${...}; empty: a "${" that never ends.
+std::optional<std::vector<std::string>> holes(std::string_view path) {
+  std::vector<std::string> names;
+  for (auto at = path.find("${"); at != std::string_view::npos; at = path.find("${", at)) {
+    const auto end = path.find('}', at);
+    if (end == std::string_view::npos) return std::nullopt;
+    names.emplace_back(path.substr(at + 2, end - at - 2));
+    at = end;
+  }
+  return names;
+}
+
+// A group's path: names of letters, digits, _ and - between dots.
+bool well_named(std::string_view path) {
+  std::size_t length = 0;
+  for (const char c : path) {
+    if (c == '.') {
+      if (std::exchange(length, 0) == 0) return false;
+    } else if (!segment_char(c) || ++length > kMostSegment) {
+      return false;
+    }
+  }
+  return length > 0;
+}
+
+// What the request has of an attribute; those that may be several are all given.
+std::vector<std::string_view> values(const Described& r, std::string_view attribute) {
+  const auto one = [](const std::string& text) {
+    return text.empty() ? std::vector<std::string_view>{} : std::vector<std::string_view>{text};
+  };
+  if (attribute == "class") return one(r.cls);
+  if (attribute == "tenant") return one(r.tenant);
+  if (attribute == "operation") return one(r.operation);
+  if (attribute == "statement") return one(r.statement);
+  if (attribute == "subject") return one(r.subject);
+  if (attribute == "field") return {r.root_fields.begin(), r.root_fields.end()};
+  return {r.tags.begin(), r.tags.end()};
+}
+
+}  // namespace
+
+// ---- texts and networks --------------------------------------------------------------------------------
+struct Match::Pattern {
+  explicit Pattern(const std::string& text, const RE2::Options& options) : re(text, options) {}
+  RE2 re;
+};
+
+Match Match::read(yaml::Section& section, const std::string& key) {
+  Match match;
+  using Shape = yaml::Section::Shape;
+  switch (section.shape(key)) {
+    case Shape::text:
+      match.any_.insert(section.string(key));
+      return match;
+    case Shape::list:
+      for (auto& text : section.strings(key)) match.any_.insert(std::move(text));
+      if (match.any_.empty()) section.fail(key, "expected at least one text");
+      return match;
+    case Shape::mapping: {
+      auto inner = section.section(key);
+      RE2::Options options;
+      options.set_log_errors(false);
+      options.set_max_mem(kPatternMemory);
+      const auto text = inner.string("pattern");
+      match.pattern_ = std::make_shared<const Pattern>(text, options);
+      if (!match.pattern_->re.ok())
+        inner.fail("pattern", "expected a pattern of RE2: " + match.pattern_->re.error());
+      inner.close();
+      return match;
+    }
+    case Shape::none:
+      break;
+  }
+  section.fail(key, "expected a text, a list of texts, or {pattern: ...}");
+}
+
+bool Match::fits(std::string_view text, std::map<std::string, std::string>& captured) const {
+  if (!pattern_) return any_.contains(text);
+  const auto& re = pattern_->re;
+  std::vector<re2::StringPiece> found(static_cast<std::size_t>(re.NumberOfCapturingGroups()) + 1);
+  if (!re.Match({text.data(), text.size()}, 0, text.size(), RE2::ANCHOR_BOTH, found.data(),
+                static_cast<int>(found.size())))
+    return false;
+  for (const auto& [name, at] : re.NamedCapturingGroups()) {
+    const auto& piece = found[static_cast<std::size_t>(at)];
+    captured[name] = std::string(piece.data() == nullptr ? "" : piece.data(), piece.size());
+  }
+  return true;
+}
+
+std::string Match::shown() const {
+  if (pattern_) return "/" + pattern_->re.pattern() + "/";
+  return fmt::format("{}", fmt::join(any_, " or "));
+}
+
+std::vector<std::string> Match::names() const {
+  std::vector<std::string> all;
+  if (pattern_)
+    for (const auto& [name, at] : pattern_->re.NamedCapturingGroups()) all.push_back(name);
+  return all;
+}
+
+std::optional<Network> Network::read(std::string_view text) {
+  Network network;
+  const auto slash = text.find('/');
+  const std::string address(text.substr(0, slash));
+  network.v6 = address.find(':') != std::string::npos;
+  if (inet_pton(network.v6 ? AF_INET6 : AF_INET, address.c_str(), network.bytes.data()) != 1)
+    return std::nullopt;
+  const unsigned most = network.v6 ? 128 : 32;
+  network.bits = most;
+  if (slash == std::string_view::npos) return network;
+  const auto digits = text.substr(slash + 1);
+  const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), network.bits);
+  if (error != std::errc{} || end != digits.data() + digits.size() || network.bits > most)
+    return std::nullopt;
+  // Bits past the prefix would be a slip of the pen.
+  for (unsigned bit = network.bits; bit < most; ++bit)
+    if ((network.bytes[bit / 8] >> (7 - bit % 8) & 1) != 0) return std::nullopt;
+  return network;
+}
+
+bool Network::holds(std::string_view address) const {
+  std::string text(address);
+  if (!v6 && text.starts_with("::ffff:") && text.find('.') != std::string::npos)
+    text.erase(0, 7);  // IPv4 in IPv6
+  std::array<std::uint8_t, 16> other{};
+  if (inet_pton(v6 ? AF_INET6 : AF_INET, text.c_str(), other.data()) != 1) return false;
+  const auto whole = bits / 8;
+  if (std::memcmp(other.data(), bytes.data(), whole) != 0) return false;
+  return bits % 8 == 0 || ((other[whole] ^ bytes[whole]) >> (8 - bits % 8)) == 0;
+}
+
+// ---- rules ---------------------------------------------------------------------------------------------
+Selectors Selectors::read(yaml::Section& section) {
+  Selectors all;
+  unsigned number = 0;
+  for (auto& one : section.sections("selectors")) {
+    Rule rule;
+    rule.number = ++number;
+    rule.group = one.string("group");
+    std::set<std::string> known;
+    for (const auto& attribute : kAttributes) {
+      if (!one.has(attribute)) continue;
+      known.insert(attribute);
+      rule.texts.emplace_back(attribute, Match::read(one, attribute));
+      for (auto& name : rule.texts.back().second.names()) known.insert(std::move(name));
+    }
+    if (one.has("header")) {
+      auto headers = one.section("header");
+      if (headers.keys().empty())
+        one.fail("header", "expected names of header fields with what they must be");
+      for (const auto& key : headers.keys()) {
+        auto name = key;
+        std::ranges::transform(name, name.begin(),
+                               [](char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c + 32) : c; });
+        rule.headers.emplace_back(name, Match::read(headers, key));
+        for (auto& captured : rule.headers.back().second.names()) known.insert(std::move(captured));
+      }
+    }
+    if (one.has("network")) {
+      const bool list = one.shape("network") == yaml::Section::Shape::list;
+      for (const auto& text : list ? one.strings("network") : std::vector{one.string("network")}) {
+        const auto network = Network::read(text);
+        if (!network)
+          one.fail("network", fmt::format("expected networks such as 10.0.0.0/8, not \"{}\"", text));
+        rule.networks.push_back(*network);
+      }
+      if (rule.networks.empty()) one.fail("network", "expected at least one network");
+    }
+    const auto names = holes(rule.group);
+    if (!names) one.fail("group", "a \"${\" without its \"}\"");
+    auto filled = rule.group;
+    for (const auto& name : *names) {
+      if (!known.contains(name))
+        one.fail("group",
+                 fmt::format("\"${{{}}}\" is no attribute that this rule asks for, nor a pattern's capture",
+                             name));
+      const auto hole = "${" + name + "}";
+      filled.replace(filled.find(hole), hole.size(), "x");
+    }
+    if (!well_named(filled)) one.fail("group", "expected names of letters, digits, _ and - between dots");
+    one.close();
+    all.rules_.push_back(std::move(rule));
+  }
+  all.default_ = section.string("default", "");
+  if (!all.default_.empty() && !well_named(all.default_))
+    section.fail("default", "expected names of letters, digits, _ and - between dots");
+  return all;
+}
+
+// What does not fit; empty: all does.
+std::string Selectors::misfit(const Rule& rule, const Described& request,
+                              std::map<std::string, std::string>& captured) const {
+  const auto shown = [](std::string_view text) {
+    return text.empty() ? std::string("not known") : fmt::format("\"{}\"", text);
+  };
+  for (const auto& [attribute, match] : rule.texts) {
+    const auto all = values(request, attribute);
+    const auto found =
+        std::ranges::find_if(all, [&](std::string_view text) { return match.fits(text, captured); });
+    if (found == all.end())
+      return fmt::format("{} is {}, not {}", attribute,
+                         all.empty() ? "not known" : fmt::format("\"{}\"", fmt::join(all, "\", \"")),
+                         match.shown());
+    captured.emplace(attribute, *found);
+  }
+  for (const auto& [name, match] : rule.headers) {
+    const auto text = request.header ? request.header(name) : std::nullopt;
+    if (!text || !match.fits(*text, captured))
+      return fmt::format("header {} is {}, not {}", name, shown(text.value_or("")), match.shown());
+  }
+  if (!rule.networks.empty() && std::ranges::none_of(rule.networks, [&](const Network& network) {
+        return network.holds(request.address);
+      }))
+    return fmt::format("address {} is in none of its networks", shown(request.address));
+  return "";
+}
+
+Chosen Selectors::named(const Rule& rule, const Described&,
+                        const std::map<std::string, std::string>& captured) const {
+  Chosen chosen{rule.group, rule.number, ""};
+  const auto names = *holes(rule.group);
+  for (const auto& name : names) {
+    const auto hole = "${" + name + "}";
+    const auto& text = captured.at(name);
+    // One name of a path, never a path of its own: else a client could place itself anywhere in the tree.
+    if (text.empty() || text.size() > kMostSegment || !std::ranges::all_of(text, segment_char)) {
+      chosen.why = fmt::format("selector {}: ${{{}}} is \"{}\", which can't be part of a group's name",
+                               rule.number, name, text.substr(0, kMostSegment));
+      chosen.group.clear();
+      return chosen;
+    }
+    chosen.group.replace(chosen.group.find(hole), hole.size(), text);
+  }
+  if (!well_named(chosen.group))
+    return {"", rule.number, fmt::format("selector {}: the group's name is too long", rule.number)};
+  return chosen;
+}
+
+Chosen Selectors::choose(const Described& request) const {
+  for (const auto& rule : rules_) {
+    std::map<std::string, std::string> captured;
+    if (misfit(rule, request, captured).empty()) return named(rule, request, captured);
+  }
+  if (default_.empty()) return {"", 0, "no selector matches, and there is no default group"};
+  return {default_, 0, ""};
+}
+
+std::string Selectors::explain(const Described& request) const {
+  std::string out;
+  for (const auto& rule : rules_) {
+    std::map<std::string, std::string> captured;
+    const auto wrong = misfit(rule, request, captured);
+    if (!wrong.empty()) {
+      out += fmt::format("selector {}: {}\n", rule.number, wrong);
+      continue;
+    }
+    const auto chosen = named(rule, request, captured);
+    return out + (chosen.group.empty()
+                      ? chosen.why + "\nrefused\n"
+                      : fmt::format("selector {}: all fits\ngroup {}\n", rule.number, chosen.group));
+  }
+  const auto chosen = choose(request);
+  return out + (chosen.group.empty()
+                    ? chosen.why + "\nrefused\n"
+                    : fmt::format("no selector matches: the default\ngroup {}\n", chosen.group));
+}
+
+// ---- groups that templates make ------------------------------------------------------------------------
+bool Made::enter(Time now, const std::string& group) {
+  const auto found = groups_.find(group);
+  if (found == groups_.end()) {
+    if (groups_.size() >= most_) (void)sweep(now);
+    if (groups_.size() >= most_) return false;
+    groups_[group].requests = 1;
+    return true;
+  }
+  if (found->second.requests++ == 0) idlers_.erase({found->second.since, group});
+  return true;
+}
+
+void Made::leave(Time now, const std::string& group) {
+  const auto found = groups_.find(group);
+  if (found == groups_.end() || found->second.requests == 0 || --found->second.requests > 0) return;
+  found->second.since = now;
+  idlers_.emplace(now, group);
+}
+
+std::vector<std::string> Made::sweep(Time now) {
+  std::vector<std::string> gone;
+  while (!idlers_.empty() && idlers_.begin()->first + idle_ <= now) {
+    gone.push_back(idlers_.begin()->second);
+    groups_.erase(gone.back());
+    idlers_.erase(idlers_.begin());
+  }
+  return gone;
+}
+
+}  // namespace heronwell::groups
--- /dev/null
+++ b/src/groups/selector.hpp
@@ -0,0 +1,123 @@
+// Selectors: which group of the tree a request belongs to. Rules are tried in order, the first that matches
+// names the group; nothing falls to the root in silence. No I/O and no clock.
+//
+//   selectors:
+//     - {class: report, tenant: [harbour, station], group: reports}
+//     - {header: {x-team: {pattern: "(?P<team>[a-z]+)-.*"}}, group: "teams.${team}"}
+//     - {network: [10.0.0.0/8], tag: batch, group: batch}
+//   default: other
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "base/time.hpp"
+#include "base/yaml.hpp"
+
+namespace heronwell::groups {
+
+// What is known of a request. Empty texts: not known.
+struct Described {
+  std::string cls, tenant;
+  std::string operation;                 // GraphQL operation's name
+  std::vector<std::string> root_fields;  // of its document
+  std::string statement;                 // first word of the SQL, in lower case: select, insert ...
+  std::string subject;                   // as authenticated; never what a header claims
+  std::string address;                   // of the client, IPv4 or IPv6
+  std::vector<std::string> tags;         // of the client
+  std::function<std::optional<std::string>(std::string_view)> header;  // by lower-case name
+};
+
+// A text against one text, a set of them, or a pattern (RE2: linear in the text) that matches all of it.
+class Match {
+ public:
+  // Throws yaml::Error with the place. Scalar: exactly it; list: one of them; {pattern: "..."}: RE2.
+  static Match read(yaml::Section& section, const std::string& key);
+
+  // `captured`: texts of a pattern's named groups, added.
+  [[nodiscard]] bool fits(std::string_view text, std::map<std::string, std::string>& captured) const;
+  [[nodiscard]] std::string shown() const;
+  [[nodiscard]] std::vector<std::string> names() const;  // of a pattern's named groups
+
+ private:
+  struct Pattern;
+  std::set<std::string, std::less<>> any_;
+  std::shared_ptr<const Pattern> pattern_;  // null: any_
+};
+
+struct Network {
+  std::array<std::uint8_t, 16> bytes{};
+  unsigned bits = 0;  // that count
+  bool v6 = false;
+  static std::optional<Network> read(std::string_view text);  // "10.0.0.0/8", "2001:db8::/32", or one address
+  [[nodiscard]] bool holds(std::string_view address) const;
+};
+
+struct Rule {
+  unsigned number = 0;                               // from 1, as written
+  std::vector<std::pair<std::string, Match>> texts;  // by attribute: class, tenant, operation, field ...
+  std::vector<std::pair<std::string, Match>> headers;
+  std::vector<Network> networks;
+  std::string group;  // path, with ${name} for attributes and captures
+};
+
+struct Chosen {
+  std::string group;  // path; empty: none, and `why` tells
+  unsigned rule = 0;  // 0: the default
+  std::string why;
+};
+
+class Selectors {
+ public:
+  // Reads "selectors" and "default" of a section. Throws yaml::Error: unknown attributes, bad patterns and
+  // networks, ${names} that the rule does not give.
+  static Selectors read(yaml::Section& section);
+
+  [[nodiscard]] Chosen choose(const Described& request) const;
+  // For people: each rule up to the one that matched, and what did not fit.
+  [[nodiscard]] std::string explain(const Described& request) const;
+  [[nodiscard]] const std::vector<Rule>& rules() const { return rules_; }
+
+ private:
+  [[nodiscard]] std::string misfit(const Rule& rule, const Described& request,
+                                   std::map<std::string, std::string>& captured) const;
+  [[nodiscard]] Chosen named(const Rule& rule, const Described& request,
+                             const std::map<std::string, std::string>& captured) const;
+
+  std::vector<Rule> rules_;
+  std::string default_;
+};
+
+// Groups that templates make on demand: at most so many, gone once idle for so long.
+class Made {
+ public:
+  Made(std::size_t most, Time idle) : most_(most), idle_(idle) {}
+
+  // A request enters the group; false: there is no room for another group, and the request must be refused.
+  bool enter(Time now, const std::string& group);
+  void leave(Time now, const std::string& group);
+  // Removes and returns those idle for long enough, the longest idle first.
+  std::vector<std::string> sweep(Time now);
+  [[nodiscard]] std::size_t size() const { return groups_.size(); }
+
+ private:
+  struct Use {
+    std::size_t requests = 0;
+    Time since{};  // idle since
+  };
+  std::size_t most_;
+  Time idle_;
+  std::map<std::string, Use> groups_;
+  std::set<std::pair<Time, std::string>> idlers_;
+};
+
+}  // namespace heronwell::groups
--- /dev/null
+++ b/tests/groups/selector_test.cpp
@@ -0,0 +1,170 @@
+#include "groups/selector.hpp"
+
+#include <gtest/gtest.h>
+
+namespace heronwell::groups {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr const char* kRules = R"(selectors:
+  - {class: report, tenant: [harbour, station], group: reports}
+  - {field: {pattern: "plan.*"}, group: loads}
+  - {subject: {pattern: "(?P<team>[a-z]+)/.*"}, group: "teams.${team}"}
+  - {header: {X-Team: {pattern: ".+"}}, class: lookup, group: "claimed.${class}"}
+  - {network: [10.0.0.0/8, "2001:db8::/33"], tag: batch, group: batch}
+  - {operation: Kiosk, group: kiosks}
+  - {statement: [insert, update], group: writes}
+  - {tenant: {pattern: ".*"}, class: open, group: "open.${tenant}"}
+default: other
+)";
+
+Selectors selectors(const std::string& text = kRules) {
+  auto section = yaml::Section::text(text, "g.yaml");
+  auto all = Selectors::read(section);
+  section.close();
+  return all;
+}
+
+struct Case {
+  const char* name;
+  Described request;
+  const char* group;
+  unsigned rule;
+};
+Described with(std::string cls, std::string tenant = "") {
+  Described r;
+  r.cls = std::move(cls);
+  r.tenant = std::move(tenant);
+  return r;
+}
+std::vector<Case> cases() {
+  std::vector<Case> all{{"set", with("report", "station"), "reports", 1},
+                        {"not_in_the_set", with("report", "museum"), "other", 0},
+                        {"nothing_known", with(""), "other", 0},
+                        {"template_of_an_attribute", with("open", "harbour-2"), "open.harbour-2", 8},
+                        {"a_path_as_a_name", with("open", "harbour.reports"), "", 8},
+                        {"an_empty_name", with("open", ""), "other", 0}};
+  all.push_back({"second_root_field", with("lookup"), "loads", 2});
+  all.back().request.root_fields = {"shop", "planLoad"};
+  all.push_back({"subject", with("lookup"), "teams.maps", 3});
+  all.back().request.subject = "maps/kiosk-7";
+  all.push_back({"a_claim_by_header_is_no_subject", with("lookup"), "claimed.lookup", 4});
+  all.back().request.header = [](std::string_view name) -> std::optional<std::string> {
+    if (name == "x-team" || name == "subject") return "maps/kiosk-7";
+    return std::nullopt;
+  };
+  all.push_back({"an_authenticated_subject_goes_before_its_claim", all.back().request, "teams.rail", 3});
+  all.back().request.subject = "rail/desk";
+  for (const auto& [address, group] : {std::pair{"10.255.0.1", "batch"},
+                                       {"11.0.0.1", "other"},
+                                       {"::ffff:10.0.0.1", "batch"},
+                                       {"2001:db8:7fff::1", "batch"},
+                                       {"2001:db8:8000::1", "other"},
+                                       {"", "other"},
+                                       {"x", "other"}}) {
+    all.push_back({address, with("lookup"), group, std::string(group) == "batch" ? 5U : 0U});
+    all.back().request.address = address;
+    all.back().request.tags = {"nightly", "batch"};
+  }
+  all.push_back({"operation", with("lookup"), "kiosks", 6});
+  all.back().request.operation = "Kiosk";
+  all.push_back({"statement", with("lookup"), "writes", 7});
+  all.back().request.statement = "update";
+  return all;
+}
+
+TEST(SelectorsTest, TheFirstThatMatchesNamesTheGroup) {
+  const auto all = selectors();
+  for (const auto& one : cases()) {
+    const auto chosen = all.choose(one.request);
+    EXPECT_EQ(chosen.group, one.group) << one.name << ": " << chosen.why;
+    EXPECT_EQ(chosen.rule, one.rule) << one.name;
+    EXPECT_EQ(chosen.group.empty(), !chosen.why.empty()) << one.name;
+    // What is explained is what is chosen.
+    const auto told = all.explain(one.request);
+    EXPECT_NE(told.find(chosen.group.empty() ? "refused\n" : "group " + chosen.group + "\n"),
+              std::string::npos)
+        << told;
+  }
+}
+
+TEST(SelectorsTest, WithoutADefaultWhatMatchesNothingIsRefusedWithAReason) {
+  const auto all = selectors("selectors: [{class: a, group: a}]\n");
+  const auto chosen = all.choose(with("b"));
+  EXPECT_EQ(chosen.group, "");
+  EXPECT_EQ(chosen.why, "no selector matches, and there is no default group");
+  EXPECT_EQ(
+      all.explain(with("b")),
+      "selector 1: class is \"b\", not a\nno selector matches, and there is no default group\nrefused\n");
+}
+
+struct Bad {
+  const char* text;
+  const char* told;
+};
+class BadRules : public testing::TestWithParam<Bad> {};
+TEST_P(BadRules, AreToldWithTheirPlace) {
+  std::string told;
+  try {
+    (void)selectors(GetParam().text);
+  } catch (const yaml::Error& error) {
+    told = error.what();
+  }
+  EXPECT_EQ(told, GetParam().told);
+}
+INSTANTIATE_TEST_SUITE_P(
+    , BadRules,
+    testing::Values(
+        Bad{"selectors: [{class: a}]", "g.yaml:1:13: selectors[0].group: missing; text is needed"},
+        Bad{"selectors: [{klass: a, group: g}]",
+            "g.yaml:1:21: selectors[0].klass: unknown key; the nearest known one is \"class\""},
+        Bad{"selectors: [{class: {pattern: \"(\"}, group: g}]",
+            "g.yaml:1:31: selectors[0].class.pattern: expected a pattern of RE2: missing ): ("},
+        Bad{"selectors: [{class: [], group: g}]",
+            "g.yaml:1:21: selectors[0].class: expected at least one text"},
+        Bad{"selectors: [{network: 10.0.0.1/8, group: g}]",
+            "g.yaml:1:23: selectors[0].network: expected networks such as 10.0.0.0/8, not \"10.0.0.1/8\""},
+        Bad{"selectors: [{network: [10.0.0.0/33], group: g}]",
+            "g.yaml:1:23: selectors[0].network: expected networks such as 10.0.0.0/8, not \"10.0.0.0/33\""},
+        Bad{"selectors: [{class: a, group: \"t.${tenant}\"}]",
+            "g.yaml:1:31: selectors[0].group: \"${tenant}\" is no attribute that this rule asks for, nor a "
+            "pattern's capture"},
+        Bad{"selectors: [{class: a, group: \"t.${class\"}]",
+            "g.yaml:1:31: selectors[0].group: a \"${\" without its \"}\""},
+        Bad{"selectors: [{class: a, group: \"t..b\"}]",
+            "g.yaml:1:31: selectors[0].group: expected names of letters, digits, _ and - between dots"},
+        Bad{"default: \".\"",
+            "g.yaml:1:10: default: expected names of letters, digits, _ and - between dots"}));
+
+TEST(SelectorsTest, PatternsTakeTimeLinearInTheText) {
+  const auto all = selectors("selectors: [{tenant: {pattern: \"(a*)*(a*)*b\"}, group: g}]\ndefault: other\n");
+  const std::string text(100'000, 'a');
+  const auto began = std::chrono::steady_clock::now();
+  EXPECT_EQ(all.choose(with("", text)).group, "other");
+  EXPECT_LT(std::chrono::steady_clock::now() - began, 2s);
+}
+
+TEST(MadeTest, GroupsAreBoundedAndGoOnceIdle) {
+  Made made(2, 10s);
+  EXPECT_TRUE(made.enter(0s, "a"));
+  EXPECT_TRUE(made.enter(0s, "b"));
+  EXPECT_FALSE(made.enter(0s, "c")) << "no room";
+  EXPECT_TRUE(made.enter(0s, "a"));
+  made.leave(1s, "a");
+  EXPECT_TRUE(made.sweep(100s).empty()) << "one request is in it still";
+  made.leave(100s, "a");
+  made.leave(101s, "b");
+  EXPECT_FALSE(made.enter(109s, "c"));
+  EXPECT_TRUE(made.enter(110s, "c")) << "a is idle for long enough";
+  EXPECT_TRUE(made.enter(110s, "b")) << "in use again, so it stays";
+  EXPECT_TRUE(made.sweep(200s).empty());
+  EXPECT_EQ(made.size(), 2U);
+  made.leave(200s, "b");
+  made.leave(200s, "b");
+  made.leave(200s, "nothing");
+  EXPECT_EQ(made.sweep(210s), std::vector<std::string>{"b"});
+}
+
+}  // namespace
+}  // namespace heronwell::groups
