Groups: the tree of shares and its division among those who want threads

Whatever way shares meet the module, someone must say who may have how much: weights, minima that are lent while idle, ceilings on every level, three policies. Pure; 400 random trees hold: sums agree, nothing idles while someone wants, no sibling has more for its weight than one left wanting.

--- /dev/null
+++ b/tests/groups/tree_test.cpp
@@ -0,0 +1,178 @@
+#include "groups/tree.hpp"
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+#include <array>
+#include <chrono>
+#include <numeric>
+#include <pcg_random.hpp>
+#include <random>
+
+namespace heronwell::groups {
+namespace {
+
+using namespace std::chrono_literals;
+
+Tree tree(const std::string& text) {
+  auto section = yaml::Section::text(text, "g.yaml");
+  auto made = Tree::read(section);
+  section.close();
+  return made;
+}
+// "path=threads ...", of all groups that want or get something.
+std::string divided(const Tree& t, double threads, const std::map<std::string, double>& wanted) {
+  std::vector<double> want(t.groups().size());
+  for (const auto& [path, threads_wanted] : wanted) want[t.index(*t.find(path))] = threads_wanted;
+  const auto given = divide(t, threads, want);
+  std::string out;
+  for (std::size_t i = 1; i < given.size(); ++i)
+    if (given[i] > 0) out += fmt::format("{}{}={:.6g}", out.empty() ? "" : " ", t.groups()[i].path, given[i]);
+  return out;
+}
+
+TEST(DivideTest, ByWeightAmongThoseWhoWant) {
+  const auto t = tree("groups: {a: {weight: 3}, b: {}, c: {}}");
+  EXPECT_EQ(divided(t, 20, {{"a", 100}, {"b", 100}}), "a=15 b=5");
+  EXPECT_EQ(divided(t, 20, {{"a", 100}, {"b", 100}, {"c", 1}}), "a=14.25 b=4.75 c=1");
+  EXPECT_EQ(divided(t, 20, {{"b", 100}}), "b=20") << "idle shares are lent";
+  EXPECT_EQ(divided(t, 20, {{"a", 2}, {"b", 3}}), "a=2 b=3");
+  EXPECT_EQ(divided(t, 20, {}), "");
+}
+
+TEST(DivideTest, MinimaGoFirstAndAreLentWhileNotWanted) {
+  const auto t = tree("groups: {a: {min_threads: 12}, b: {weight: 100}}");
+  EXPECT_EQ(divided(t, 16, {{"a", 50}, {"b", 50}}), "a=12 b=4");
+  EXPECT_EQ(divided(t, 16, {{"a", 3}, {"b", 50}}), "a=3 b=13");
+  EXPECT_EQ(divided(t, 6, {{"a", 50}, {"b", 50}}), "a=6") << "less than the minima";
+}
+
+TEST(DivideTest, CeilingsHoldOnEveryLevel) {
+  const auto t =
+      tree("groups: {a: {max_threads: 10, groups: {x: {}, y: {max_threads: 2}}}, b: {max_threads: 4}}");
+  EXPECT_EQ(divided(t, 100, {{"a.x", 50}, {"a.y", 50}, {"b", 50}}), "a=10 a.x=8 a.y=2 b=4");
+}
+
+TEST(DivideTest, StrictGoesInOrderAndFirstComeByDemand) {
+  const auto strict = tree("policy: strict\ngroups: {a: {}, b: {min_threads: 2}, c: {}}");
+  EXPECT_EQ(divided(strict, 10, {{"a", 7}, {"b", 7}, {"c", 7}}), "a=7 b=3");
+  const auto come = tree("policy: first_come\ngroups: {a: {weight: 100}, b: {}}");
+  EXPECT_EQ(divided(come, 10, {{"a", 10}, {"b", 30}}), "a=2.5 b=7.5");
+}
+
+struct Bad {
+  const char* text;
+  const char* told;
+};
+class BadTrees : public testing::TestWithParam<Bad> {};
+TEST_P(BadTrees, AreToldWithTheirPlace) {
+  std::string told;
+  try {
+    (void)tree(GetParam().text);
+  } catch (const yaml::Error& error) {
+    told = error.what();
+  }
+  EXPECT_EQ(told, GetParam().told);
+}
+INSTANTIATE_TEST_SUITE_P(
+    , BadTrees,
+    testing::Values(Bad{"groups: {a: {weigt: 1}}",
+                        "g.yaml:1:21: groups.a.weigt: unknown key; the nearest known one is \"weight\""},
+                    Bad{"groups: {a.b: {}}",
+                        "g.yaml:1:15: groups.a.b: expected a name of at most 64 letters, digits, _ and -"},
+                    Bad{"groups: {a: {weight: 0}}",
+                        "g.yaml:1:22: groups.a.weight: expected a number from 0.001 to 1000000"},
+                    Bad{"groups: {a: {min_threads: 4, max_threads: 3}}",
+                        "g.yaml:1:27: groups.a.min_threads: expected at most max_threads"},
+                    Bad{"groups: {a: {max_threads: 5, groups: {b: {min_threads: 3}, c: {min_threads: 3}}}}",
+                        "g.yaml:1:77: groups.a.groups.c.min_threads: the minima here sum to 6, more than the "
+                        "ceiling 5 above them"}));
+
+TEST(TreeTest, GroupsAreAddedOnDemandBelowWhatIsThere) {
+  auto t = tree("groups: {team: {}}");
+  EXPECT_NE(t.add("team.maps"), nullptr);
+  EXPECT_EQ(t.add("team.maps"), nullptr) << "taken";
+  EXPECT_EQ(t.add("none.maps"), nullptr) << "no such parent";
+  EXPECT_EQ(t.add("team."), nullptr);
+  EXPECT_EQ(t.find("team.maps")->depth, 2U);
+  std::string path = "team";
+  for (unsigned i = 2; i <= Tree::kDeepest; ++i) EXPECT_NE(t.add(path += ".x"), nullptr) << i;
+  EXPECT_EQ(t.add(path + ".x"), nullptr) << "too deep";
+}
+
+// Random trees and demands: what must hold whatever they are.
+TEST(DivideProperties, HoldForRandomTrees) {
+  for (std::uint64_t seed = 1; seed <= 400; ++seed) {
+    pcg64 random(seed);
+    const auto real = [&](double from, double to) {
+      return std::uniform_real_distribution<double>(from, to)(random);
+    };
+    std::string text = "groups: {";
+    for (int a = 0; a < 4; ++a) {
+      const double ceiling = real(4, 60);
+      text += fmt::format(
+          "g{}: {{weight: {:.3f}, min_threads: {:.3f}, max_threads: {:.3f}, policy: {}, groups: {{", a,
+          real(0.1, 9), real(0, 4), ceiling, std::array{"fair", "strict", "first_come"}[random() % 3]);
+      for (int b = 0; b < 3; ++b)
+        text += fmt::format("l{}: {{weight: {:.3f}, min_threads: {:.3f}}},", b, real(0.1, 9),
+                            real(0, ceiling / 3));
+      text += "}},";
+    }
+    const auto t = tree(text + "}");
+    std::vector<double> want(t.groups().size());
+    for (std::size_t i = 1; i < want.size(); ++i)
+      if (t.groups()[i].children.empty() && random() % 3 > 0) want[i] = real(0, 40);
+    const double threads = real(0, 120);
+    const auto given = divide(t, threads, want);
+    constexpr double kClose = 1e-6;
+    double possible = 0, sum = 0;
+    for (const auto top : t.groups()[0].children) {
+      double below = 0;
+      for (const auto leaf : t.groups()[top].children) below += want[leaf];
+      possible += std::min(below, t.groups()[top].max_threads);
+    }
+    for (std::size_t i = 1; i < given.size(); ++i) {
+      const auto& group = t.groups()[i];
+      ASSERT_GE(given[i], -kClose);
+      ASSERT_LE(given[i], group.max_threads + kClose);
+      if (group.children.empty()) {
+        ASSERT_LE(given[i], want[i] + kClose) << "seed " << seed;
+        sum += given[i];
+        continue;
+      }
+      double children = 0;
+      for (const auto child : group.children) children += given[child];
+      ASSERT_NEAR(children, given[i], kClose) << "sums agree, seed " << seed;
+      if (group.policy != Policy::fair) continue;
+      // Of two siblings, neither has more for its weight than its minimum while the other is left wanting.
+      for (const auto a : group.children)
+        for (const auto b : group.children)
+          if (given[a] + kClose < want[a] &&
+              given[b] > std::min(t.groups()[b].min_threads, want[b]) + kClose) {
+            ASSERT_GE(given[a] / t.groups()[a].weight + kClose, given[b] / t.groups()[b].weight)
+                << "seed " << seed;
+          }
+    }
+    ASSERT_NEAR(sum, std::min(threads, possible), kClose)
+        << "nothing idles while someone wants, seed " << seed;
+  }
+}
+
+TEST(DivideTest, FiveThousandLeavesTenDeepAreDividedAtOnce) {
+  Tree t;
+  for (int a = 0; a < 500; ++a) {
+    std::string path = fmt::format("g{}", a);
+    ASSERT_NE(t.add(path), nullptr);
+    for (int d = 0; d < 8; ++d) ASSERT_NE(t.add(path += ".d"), nullptr);
+    for (int leaf = 0; leaf < 10; ++leaf) ASSERT_NE(t.add(fmt::format("{}.l{}", path, leaf)), nullptr);
+  }
+  std::vector<double> want(t.groups().size());
+  for (std::size_t i = 1; i < want.size(); ++i) want[i] = t.groups()[i].children.empty() ? 1 : 0;
+  const auto began = std::chrono::steady_clock::now();
+  const auto given = divide(t, 2500, want);
+  EXPECT_LT(std::chrono::steady_clock::now() - began, 1s);
+  EXPECT_NEAR(given[t.index(*t.find("g7.d.d.d.d.d.d.d.d.l3"))], 0.5, 1e-9);
+}
+
+}  // namespace
+}  // namespace heronwell::groups
