--- a/src/graphql/schema.cpp
+++ b/src/graphql/schema.cpp
@@ -75,8 +75,9 @@
          (a.of == nullptr || same(*a.of, *b.of));
 }
 std::string text_of(const TypeRef& type) {
-  return (type.of != nullptr ? "[" + text_of(*type.of) + "]" : std::string(type.name)) +
-         (type.non_null ? "!" : "");
+  const auto* mark = type.non_null ? "!" : "";
+  return type.of != nullptr ? fmt::format("[{}]{}", text_of(*type.of), mark)
+                            : fmt::format("{}{}", type.name, mark);
 }
 std::string_view named(const TypeRef& type) { return type.of != nullptr ? named(*type.of) : type.name; }
 
