--- a/include/heronwell/gateway.hpp
+++ b/include/heronwell/gateway.hpp
@@ -220,9 +220,22 @@
   double budget = 0;     // threads
 };
 
+// Where requests of one class are divided further (resource groups), the host hands the module one of these:
+// which of the held requests may go. Class, moment and engine stay the module's. Called within handle().
+class Turns {
+ public:
+  virtual ~Turns() = default;
+  // Requests of the class that may be let go, the first in turn first; good until the next call of either.
+  // Those that are not held are passed by.
+  virtual const std::vector<RequestId>& in_turn(ClassIndex cls) = 0;
+  virtual void sent(RequestId request) = 0;  // further attempts and copies too
+};
+
 class Gateway {
  public:
-  Gateway(Settings settings, std::uint64_t seed);  // throws std::invalid_argument naming a senseless field
+  // Throws std::invalid_argument naming a senseless field. `turns` outlives it; null: each class is one
+  // queue.
+  Gateway(Settings settings, std::uint64_t seed, Turns* turns = nullptr);
   ~Gateway();
   Gateway(Gateway&&) noexcept;
   Gateway& operator=(Gateway&&) noexcept;
--- a/src/decide/choice.cpp
+++ b/src/decide/choice.cpp
@@ -119,7 +119,8 @@
 
 class Gateway::Choice {
  public:
-  Choice(Settings settings, std::uint64_t seed) : s_(std::move(settings)), random_(seed) {
+  Choice(Settings settings, std::uint64_t seed, Turns* groups)
+      : s_(std::move(settings)), random_(seed), groups_(groups) {
     check(s_);
     classes_.resize(s_.classes.size());
     for (std::size_t c = 0; c < classes_.size(); ++c) {
@@ -448,6 +449,7 @@
     engine.threads += set.threads;
     ++engine.queries;
     busy_.insert(engine.entry.engine);
+    if (groups_) groups_->sent(request.asked.request);
     return true;
   }
 
@@ -880,19 +882,20 @@
     for (const auto c : rank_) {
       auto& cls = classes_[c];
       if (cls.queue.empty() || under_budget != (cls.running < cls.budget)) continue;
-      if (release_head(cls)) return true;
+      if (groups_ ? release_head(cls, groups_->in_turn(c)) : release_head(cls, cls.queue)) return true;
     }
     return false;
   }
 
-  // The first of the queue that may go; only those waiting for their key's turn are passed by.
-  bool release_head(Class& cls) {
-    for (auto it = cls.queue.begin(); it != cls.queue.end(); ++it) {
-      auto& request = requests_.at(*it);
-      if (!in_turn(request)) continue;
-      Engine* engine = pick(request);
-      if (engine == nullptr || !transmit(request, *engine)) return false;
-      cls.queue.erase(it);
+  // The first that may go, of the queue or of what the groups' turns name; only those waiting for their key's
+  // turn are passed by.
+  bool release_head(Class& cls, const auto& ids) {
+    for (const auto id : ids) {
+      auto* request = find(id);
+      if (request == nullptr || !request->held || !in_turn(*request)) continue;
+      Engine* engine = pick(*request);
+      if (engine == nullptr || !transmit(*request, *engine)) return false;
+      cls.queue.erase(std::ranges::find(cls.queue, id));
       return true;
     }
     return false;
@@ -1016,6 +1019,7 @@
 
   Settings s_;
   std::mt19937_64 random_;
+  Turns* groups_;  // null: none
   std::vector<Class> classes_;
   std::vector<ClassIndex> rank_;
   std::map<EngineId, Engine> engines_;
@@ -1046,8 +1050,8 @@
   std::vector<Action>* out_ = nullptr;
 };
 
-Gateway::Gateway(Settings settings, std::uint64_t seed)
-    : choice_(std::make_unique<Choice>(std::move(settings), seed)) {}
+Gateway::Gateway(Settings settings, std::uint64_t seed, Turns* turns)
+    : choice_(std::make_unique<Choice>(std::move(settings), seed, turns)) {}
 Gateway::~Gateway() = default;
 Gateway::Gateway(Gateway&&) noexcept = default;
 Gateway& Gateway::operator=(Gateway&&) noexcept = default;
--- a/src/groups/selector.cpp
+++ b/src/groups/selector.cpp
@@ -199,7 +199,7 @@
                  fmt::format("\"${{{}}}\" is no attribute that this rule asks for, nor a pattern's capture",
                              name));
       const auto hole = "${" + name + "}";
-      filled.replace(filled.find(hole), hole.size(), "x");
+      filled = filled.substr(0, filled.find(hole)) + "x" + filled.substr(filled.find(hole) + hole.size());
     }
     if (!well_named(filled)) one.fail("group", "expected names of letters, digits, _ and - between dots");
     one.close();
--- /dev/null
+++ b/src/groups/shares.cpp
@@ -0,0 +1,821 @@
+#include "groups/shares.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+#include "base/bytes.hpp"
+
+namespace heronwell::groups {
+namespace {
+
+using namespace std::chrono_literals;
+constexpr Time kTick = 50ms;          // between looks at what runs longer than it was charged for
+constexpr Time kMostPass = 8s;        // of the times for which a group that finds no engine is passed by
+constexpr std::size_t kMarked = 16;   // groups whose patience runs at once, on one level
+constexpr std::size_t kLeaves = 2;    // whose first requests are offered at once,
+constexpr std::size_t kByKey = 8;     // and so many of one leaf where the order by key may hold some
+constexpr double kRecent = 10;        // s, of the engine time that is told as lately used
+constexpr double kStep = 0.05;        // weight of one end in a class's mean engine time
+constexpr double kFirstCharge = 0.1;  // s, of a class's queries before any has ended
+constexpr double kMostSize = 40;      // of a query by its estimate, in its class's mean
+constexpr Time kToldLife = 60s;       // a gateway unheard of for so long counts no more
+constexpr std::size_t kToldHead = 1 + 8, kToldEntry = 6 + 6;
+constexpr char kToldMark = 'g';
+const std::string kRemoved = "removed";
+
+double secs(Time t) { return std::chrono::duration<double>(t).count(); }
+std::uint64_t hash_of(std::string_view path) { return XXH3_64bits(path.data(), path.size()) >> 16; }
+
+}  // namespace
+
+std::string_view name_of(Limit limit) {
+  constexpr std::array<std::string_view, 9> names{"none",         "unknown_group", "made",
+                                                  "queued",       "query_threads", "query_work",
+                                                  "query_memory", "wait",          "run"};
+  return names[static_cast<std::size_t>(limit)];
+}
+
+ShareSettings ShareSettings::read(yaml::Section& section) {
+  ShareSettings s;
+  const auto span = [&](const char* key, Time fallback, Time most) {
+    const auto value = section.duration(key, fallback);
+    if (value > most) section.fail(key, "expected at most " + yaml::duration_text(most));
+    return value;
+  };
+  s.slack = span("slack", s.slack, 10s);
+  s.patience = span("patience", s.patience, 10s);
+  s.credit = span("credit", s.credit, 60s);
+  s.debt = span("debt", s.debt, 1h);
+  s.fade = span("fade", s.fade, 1h);
+  s.most_made = section.count("most_made", s.most_made, 0, Tree::kMost);
+  s.made_idle = span("made_idle", s.made_idle, 24h);
+  return s;
+}
+
+bool Shares::Held::running() const {
+  return std::ranges::any_of(out, [](const Out& one) { return !one.ended; });
+}
+
+// ---- the tree --------------------------------------------------------------------------------------------
+Shares::Shares(Tree tree, std::vector<ClassFacts> classes, ShareSettings settings)
+    : settings_(settings), tree_(std::move(tree)), classes_(std::move(classes)) {
+  mean_.assign(classes_.size(), 0);
+  mean_estimate_.assign(classes_.size(), 0);
+  for (const auto& one : classes_) widest_ = std::max(widest_, one.threads);
+  build(tree_);
+}
+
+Shares::Number Shares::append(Group group, Number parent) {
+  Number n = 0;
+  if (free_.empty()) {
+    n = static_cast<Number>(nodes_.size());
+    nodes_.emplace_back();
+  } else {
+    n = free_.back();
+    free_.pop_back();
+    nodes_[n] = {};
+  }
+  auto& node = nodes_[n];
+  node.set = std::move(group);
+  node.parent = parent;
+  node.queued_by_class.assign(classes_.size(), 0);
+  node.idle_since = now_;
+  if (n == parent) return n;  // the root
+  auto& above = nodes_[parent];
+  if (above.waiting.empty()) above.waiting.resize(classes_.size());
+  node.position = above.children.size();
+  node.v = above.floor;
+  above.children.push_back(n);
+  by_path_[node.set.path] = n;
+  by_hash_.emplace(hash_of(node.set.path), n);
+  node.key = key_of(n);
+  return n;
+}
+
+void Shares::build(const Tree& tree) {
+  const auto& groups = tree.groups();
+  std::vector<Number> numbers(groups.size());
+  for (std::size_t i = 0; i < groups.size(); ++i) {
+    auto group = groups[i];
+    group.children.clear();
+    numbers[i] = append(std::move(group), i == 0 ? 0 : numbers[groups[i].parent]);
+  }
+}
+
+// A group that templates name is made under a parent of the tree.
+Shares::Number Shares::find_or_make(std::string_view path, bool made, Limit& limit) {
+  const auto found = by_path_.find(path);
+  if (found != by_path_.end()) {
+    limit = nodes_[found->second].leaf() ? Limit::none : Limit::unknown_group;
+    return found->second;
+  }
+  limit = Limit::unknown_group;
+  if (!made) return 0;
+  const auto dot = path.rfind('.');
+  const auto parent = dot == std::string_view::npos ? by_path_.end() : by_path_.find(path.substr(0, dot));
+  if (dot != std::string_view::npos && parent == by_path_.end()) return 0;
+  const Number above = dot == std::string_view::npos ? 0 : parent->second;
+  if (nodes_[above].requests > 0 && nodes_[above].leaf()) return 0;
+  limit = Limit::made;
+  if (made_ >= settings_.most_made) sweep_made();
+  if (made_ >= settings_.most_made) return 0;
+  Group group;
+  group.path = path;
+  group.name = dot == std::string_view::npos ? path : path.substr(dot + 1);
+  group.depth = nodes_[above].set.depth + 1;
+  const auto n = append(std::move(group), above);
+  nodes_[n].made = true;
+  nodes_[n].made_since = now_;
+  ++made_;
+  limit = Limit::none;
+  return n;
+}
+
+void Shares::remove(Number n) {
+  auto& node = nodes_[n];
+  auto& siblings = nodes_[node.parent].children;
+  siblings.erase(siblings.begin() + static_cast<std::ptrdiff_t>(node.position));
+  for (auto i = node.position; i < siblings.size(); ++i) {
+    nodes_[siblings[i]].position = i;
+    rekey(siblings[i]);
+  }
+  by_path_.erase(node.set.path);
+  by_hash_.erase(hash_of(node.set.path));
+  untold_.erase({node.told_at, n});
+  if (node.made) --made_;
+  node.live = false;
+  free_.push_back(n);
+}
+
+void Shares::sweep_made() {
+  for (Number n = 1; n < nodes_.size(); ++n) {
+    const auto& node = nodes_[n];
+    if (node.live && node.made && node.leaf() && node.requests == 0 &&
+        now_ >= std::max(node.idle_since, node.made_since) + settings_.made_idle)
+      remove(n);
+  }
+}
+
+// ---- engine time -----------------------------------------------------------------------------------------
+double Shares::fleet_pool() const {
+  const auto alive = std::ranges::count_if(
+      told_by_, [this](const auto& one) { return now_ <= one.second.last + kToldLife; });
+  return std::max(1.0, pool_) * static_cast<double>(1 + alive);
+}
+
+double Shares::rate(Number parent) const {
+  std::array<Number, Tree::kDeepest + 1> way{};
+  std::size_t depth = 0;
+  for (auto n = parent; n != 0; n = nodes_[n].parent) way[depth++] = n;
+  double share = fleet_pool();
+  auto above = &nodes_[0];
+  while (depth-- > 0) {
+    const auto& node = nodes_[way[depth]];
+    share *= node.set.weight / std::max(above->active_weight, node.set.weight);
+    above = &node;
+  }
+  return above->active_weight > 0 ? share / above->active_weight : share;
+}
+
+void Shares::add_recent(Node& node, double amount) const {
+  if (now_ > node.recent_at) node.recent *= std::exp(-secs(now_ - node.recent_at) / kRecent);
+  node.recent_at = now_;
+  node.recent = std::max(0.0, node.recent + amount);
+}
+
+void Shares::charge(Number leaf, double amount, bool here) {
+  if (amount == 0) return;
+  for (auto n = leaf;; n = nodes_[n].parent) {
+    auto& node = nodes_[n];
+    (here ? node.used : node.heard) += amount;
+    add_recent(node, amount);
+    if (n == 0) break;
+    const auto& above = nodes_[node.parent];
+    node.v += amount / node.set.weight;
+    const double ahead = (node.v - above.floor);
+    if (ahead > 0 && above.set.policy == Policy::fair)
+      node.v = above.floor + std::min(ahead, secs(settings_.debt) * rate(node.parent));
+    rekey(n);
+  }
+  if (here && untold_.insert({nodes_[leaf].told_at, leaf}).second) return;
+}
+
+// What a query is charged when it is sent: the mean of its class, by its estimate against the mean of those.
+double Shares::expected(const Query& query) const {
+  const double mean = mean_[query.cls] > 0 ? mean_[query.cls] : kFirstCharge * classes_[query.cls].threads;
+  if (!query.work || *query.work <= Time::zero() || mean_estimate_[query.cls] <= 0) return mean;
+  return mean * std::min(secs(*query.work) / mean_estimate_[query.cls], kMostSize);
+}
+
+void Shares::learn(const Query& query, double used) {
+  auto& mean = mean_[query.cls];
+  mean += (mean > 0 ? kStep : 1) * (used - mean);
+  if (!query.work || *query.work <= Time::zero()) return;
+  auto& estimate = mean_estimate_[query.cls];
+  const double told = secs(*query.work);
+  estimate += estimate > 0 ? kStep * (std::min(told, 3 * estimate) - estimate) : told;
+}
+
+// ---- order among siblings --------------------------------------------------------------------------------
+double Shares::oldest(Number n) const {
+  const auto& node = nodes_[n];
+  double least = std::numeric_limits<double>::infinity();
+  for (const auto& queue : node.queue)
+    if (!queue.empty()) least = std::min(least, static_cast<double>(queue.begin()->first));
+  for (const auto& waiting : node.waiting)
+    for (const auto& key : waiting) least = std::min(least, oldest(key.node));
+  return least;
+}
+
+Shares::Key Shares::key_of(Number n) const {
+  const auto& node = nodes_[n];
+  const auto policy = nodes_[node.parent].set.policy;
+  const double order = policy == Policy::fair     ? node.v
+                       : policy == Policy::strict ? static_cast<double>(node.position)
+                                                  : oldest(n);
+  return {node.running >= node.set.min_threads / settings_.gateways, order, n};
+}
+
+void Shares::insert_keys(Number n) {
+  const auto& node = nodes_[n];
+  for (std::size_t c = 0; c < classes_.size(); ++c)
+    if (node.queued_by_class[c] > 0) nodes_[node.parent].waiting[c].insert(node.key);
+}
+void Shares::erase_keys(Number n) {
+  const auto& node = nodes_[n];
+  for (std::size_t c = 0; c < classes_.size(); ++c)
+    if (node.queued_by_class[c] > 0) nodes_[node.parent].waiting[c].erase(node.key);
+}
+void Shares::rekey(Number n) {
+  if (n == 0) return;
+  auto& node = nodes_[n];
+  const auto key = key_of(n);
+  if (key == node.key) return;
+  if (node.queued > 0) erase_keys(n);
+  node.key = key;
+  if (node.queued > 0) insert_keys(n);
+}
+
+// A group that begins to wait: what it is owed or owes has faded meanwhile, and is bounded.
+void Shares::wake(Number n) {
+  auto& node = nodes_[n];
+  auto& above = nodes_[node.parent];
+  if (above.set.policy != Policy::fair) return;
+  const auto least = front(node.parent);
+  if (least && least->after_minima) above.floor = std::max(above.floor, least->order);
+  const double per_second = rate(node.parent);
+  const double faded = std::exp(-secs(now_ - node.idle_since) / std::max(1e-3, secs(settings_.fade)));
+  const double off = (node.v - above.floor) * faded;
+  node.v =
+      above.floor + std::clamp(off, -secs(settings_.credit) * per_second, secs(settings_.debt) * per_second);
+  rekey(n);
+}
+
+void Shares::join(Number leaf) {
+  for (auto n = leaf;; n = nodes_[n].parent) {
+    auto& node = nodes_[n];
+    if (node.requests++ == 0 && n != 0) nodes_[node.parent].active_weight += node.set.weight;
+    if (n == 0) break;
+  }
+}
+
+void Shares::queue_up(RequestId id, Held& held) {
+  held.waiting = true;
+  const auto c = held.query.cls;
+  auto& leaf = nodes_[held.node];
+  if (leaf.queue.empty()) leaf.queue.resize(classes_.size());
+  leaf.queue[c].insert({held.turn, id});
+  for (auto n = held.node;; n = nodes_[n].parent) {
+    auto& node = nodes_[n];
+    ++node.queued;
+    if (n == 0) break;
+    if (node.queued == 1) {
+      node.turn_since = Time::zero();
+      wake(n);
+    }
+    if (node.queued_by_class[c]++ == 0) {
+      rekey(n);
+      nodes_[node.parent].waiting[c].insert(node.key);
+    }
+    if (nodes_[node.parent].set.policy == Policy::first_come) rekey(n);
+  }
+}
+
+void Shares::unqueue(RequestId id, Held& held) {
+  if (!std::exchange(held.waiting, false)) return;
+  const auto c = held.query.cls;
+  nodes_[held.node].queue[c].erase({held.turn, id});
+  for (auto n = held.node;; n = nodes_[n].parent) {
+    auto& node = nodes_[n];
+    --node.queued;
+    if (n == 0) break;
+    if (--node.queued_by_class[c] == 0) nodes_[node.parent].waiting[c].erase(node.key);
+    if (node.queued == 0) node.idle_since = now_;
+    if (nodes_[node.parent].set.policy == Policy::first_come) rekey(n);
+  }
+}
+
+// ---- told by the host ------------------------------------------------------------------------------------
+void Shares::at(Time now, double pool) {
+  now_ = now;
+  pool_ = pool;
+  if (begun_ == 0) begun_ = static_cast<std::uint64_t>(now.count()) | 1;
+  if (now_ >= ticked_ + kTick) tick();
+}
+
+// What runs longer than it was charged for is charged on.
+void Shares::tick() {
+  ticked_ = now_;
+  for (const auto id : running_) {
+    auto& held = requests_.at(id);
+    for (auto& out : held.out) {
+      if (out.ended) continue;
+      const double more = secs(now_ - out.sent) * classes_[held.query.cls].threads - out.charged;
+      if (more <= 0) continue;
+      out.charged += more;
+      charge(held.node, more, true);
+    }
+  }
+}
+
+Limit Shares::room(Number leaf, const Query& query) const {
+  const auto threads = classes_[query.cls].threads;
+  for (auto n = leaf; n != 0; n = nodes_[n].parent) {
+    const auto& node = nodes_[n];
+    const auto& set = node.set;
+    if (threads > set.max_threads) return Limit::query_threads;
+    if (query.work && set.query_work && *query.work > *set.query_work) return Limit::query_work;
+    if (query.memory_mb > std::min(set.query_memory_mb, set.max_memory_mb)) return Limit::query_memory;
+    if (node.queued >= std::max<std::size_t>(1, set.max_queued) ||
+        (set.max_queued == 0 && at_ceiling(n, query.cls)))
+      return Limit::queued;
+  }
+  return Limit::none;
+}
+
+Limit Shares::enter(RequestId id, std::string_view path, bool made, const Query& query) {
+  auto limit = Limit::none;
+  const auto n = find_or_make(path, made, limit);
+  if (limit == Limit::none) limit = room(n, query);
+  if (limit != Limit::none) {
+    ++nodes_[n].refused[limit];
+    return limit;
+  }
+  auto& held = requests_[id];
+  held.node = n;
+  held.query = query;
+  held.turn = ++turns_;
+  for (auto at = n; at != 0; at = nodes_[at].parent) {
+    const auto& set = nodes_[at].set;
+    if (set.longest_wait) held.wait_until = std::min(held.wait_until, now_ + *set.longest_wait);
+  }
+  if (held.wait_until != Time::max()) waits_.insert({held.wait_until, id});
+  join(n);
+  queue_up(id, held);
+  return Limit::none;
+}
+
+void Shares::sent(RequestId id) {
+  const auto found = requests_.find(id);
+  if (found == requests_.end()) return;
+  auto& held = found->second;
+  const auto threads = classes_[held.query.cls].threads;
+  const bool waited = held.waiting;
+  unqueue(id, held);
+  const double cost = expected(held.query);
+  held.out.push_back({now_, cost});
+  running_.insert(id);
+  for (auto n = held.node;; n = nodes_[n].parent) {
+    auto& node = nodes_[n];
+    node.running += threads;
+    node.memory += held.query.memory_mb;
+    if (waited) node.turn_since = Time::zero();
+    if (n == 0) break;
+    if (waited && node.set.query_time) held.run_until = std::min(held.run_until, now_ + *node.set.query_time);
+  }
+  if (held.run_until != Time::max()) runs_.insert({held.run_until, id});
+  charge(held.node, cost, true);
+}
+
+void Shares::ended(RequestId id, std::size_t attempt, bool ran) {
+  const auto found = requests_.find(id);
+  if (found == requests_.end() || attempt >= found->second.out.size()) return;
+  auto& held = found->second;
+  auto& out = held.out[attempt];
+  if (std::exchange(out.ended, true)) return;
+  const auto threads = classes_[held.query.cls].threads;
+  for (auto n = held.node;; n = nodes_[n].parent) {
+    auto& node = nodes_[n];
+    node.running -= threads;
+    node.memory = std::max(0.0, node.memory - held.query.memory_mb);
+    if (n == 0) break;
+    rekey(n);
+  }
+  freed_ += threads;
+  const double used = ran ? secs(now_ - out.sent) * threads : 0;
+  charge(held.node, used - out.charged, true);
+  if (ran) learn(held.query, used);
+  if (held.running()) return;
+  running_.erase(id);
+  runs_.erase({held.run_until, id});
+  held.run_until = Time::max();
+  if (held.settled) forget(id);
+}
+
+void Shares::waits(RequestId id) {
+  const auto found = requests_.find(id);
+  if (found != requests_.end() && !found->second.waiting && !found->second.settled)
+    queue_up(id, found->second);
+}
+
+void Shares::settled(RequestId id) {
+  const auto found = requests_.find(id);
+  if (found == requests_.end()) return;
+  auto& held = found->second;
+  held.settled = true;
+  unqueue(id, held);
+  waits_.erase({held.wait_until, id});
+  runs_.erase({held.run_until, id});
+  if (!held.running()) forget(id);
+}
+
+void Shares::forget(RequestId id) {
+  const auto leaf = requests_.at(id).node;
+  requests_.erase(id);
+  for (auto n = leaf;; n = nodes_[n].parent) {
+    auto& node = nodes_[n];
+    if (--node.requests == 0 && n != 0) {
+      auto& weight = nodes_[node.parent].active_weight;
+      weight = std::max(0.0, weight - node.set.weight);
+      node.idle_since = now_;
+    }
+    if (n == 0) break;
+  }
+  if (nodes_[leaf].set.path == kRemoved && nodes_[leaf].made && nodes_[leaf].requests == 0) remove(leaf);
+}
+
+std::vector<Shares::Over> Shares::over() {
+  std::vector<Over> all;
+  for (const auto& [until, id] : waits_) {
+    if (until > now_) break;
+    const auto& held = requests_.at(id);
+    if (!held.waiting) continue;
+    ++nodes_[held.node].refused[Limit::wait];
+    all.push_back({id, Limit::wait});
+  }
+  for (const auto& [until, id] : runs_) {
+    if (until > now_) break;
+    ++nodes_[requests_.at(id).node].refused[Limit::run];
+    all.push_back({id, Limit::run});
+  }
+  return all;
+}
+
+Time Shares::next_due() const {
+  // A request that is out while its longest wait passes is looked at again when it waits again.
+  Time due = runs_.empty() ? Time::max() : runs_.begin()->first;
+  for (const auto& [until, id] : waits_) {
+    if (!requests_.at(id).waiting) continue;
+    return std::min(due, until);
+  }
+  return due;
+}
+
+// ---- turns -----------------------------------------------------------------------------------------------
+// A ceiling is the fleet's; each gateway has an even part of it, but for one query at least.
+bool Shares::at_ceiling(Number n, ClassIndex cls) const {
+  const auto& node = nodes_[n];
+  if (node.running == 0) return false;  // what could never run was not let in
+  return node.running + classes_[cls].threads > node.set.max_threads / settings_.gateways ||
+         node.memory >= node.set.max_memory_mb / settings_.gateways;
+}
+
+void Shares::begin_turn(Node& node) const {
+  if (node.turn_since != Time::zero()) return;
+  node.turn_since = now_;
+  node.turn_freed = freed_;
+}
+
+// Only what threads became free for and did not take: while all are busy nobody is passed by.
+bool Shares::passed_by(const Node& node) const {
+  if (node.turn_since == Time::zero()) return false;
+  if (nodes_[0].running > 0 && freed_ < node.turn_freed + 2 * widest_) return false;
+  auto since = now_ - node.turn_since;
+  const auto hold = settings_.patience;
+  for (auto pass = std::max(hold, Time(1ms)); since >= hold; pass = std::min(2 * pass, kMostPass)) {
+    if (since < hold + pass) return true;
+    since -= hold + pass;
+    if (pass == kMostPass) since %= hold + pass;
+  }
+  return false;
+}
+
+std::optional<Shares::Key> Shares::front(Number n) {
+  std::optional<Key> least;
+  auto& node = nodes_[n];
+  for (std::size_t c = 0; c < node.waiting.size(); ++c) {
+    for (const auto& key : node.waiting[c]) {
+      if (least && *least < key) break;
+      if (at_ceiling(key.node, static_cast<ClassIndex>(c)) || passed_by(nodes_[key.node])) continue;
+      least = key;
+      break;
+    }
+  }
+  return least;
+}
+
+void Shares::mark(Node& node, ClassIndex cls) {
+  if (now_ < node.marked + kTick) return;
+  node.marked = now_;
+  std::size_t left = kMarked;
+  for (const auto& key : node.waiting[cls]) {
+    if (left-- == 0) break;
+    begin_turn(nodes_[key.node]);
+  }
+}
+
+void Shares::step(Number n, ClassIndex cls, double share) {
+  auto& node = nodes_[n];
+  if (!node.leaf()) return walk(n, cls, share);
+  if (node.queue.empty()) return;
+  std::size_t left = classes_[cls].in_order ? kByKey : 1;
+  for (const auto& [turn, id] : node.queue[cls]) {
+    if (left-- == 0) break;
+    found_.push_back(id);
+  }
+}
+
+void Shares::walk(Number n, ClassIndex cls, double share) {
+  auto& node = nodes_[n];
+  if (node.waiting.empty() || node.waiting[cls].empty()) return;
+  mark(node, cls);
+  const auto first = front(n);
+  if (first) begin_turn(nodes_[first->node]);
+  const double rate = node.active_weight > 0 ? share / node.active_weight : share;
+  const auto policy = node.set.policy;
+  if (first && first->after_minima && policy == Policy::fair) node.floor = std::max(node.floor, first->order);
+  const double furthest = !first                     ? 0
+                          : policy == Policy::fair   ? first->order + secs(settings_.slack) * rate
+                          : policy == Policy::strict ? first->order
+                                                     : std::numeric_limits<double>::infinity();
+  for (const bool passed : {false, true}) {
+    for (const auto& key : node.waiting[cls]) {
+      if (found_.size() >= kLeaves) return;
+      if (first && key.after_minima && (!first->after_minima || key.order > furthest)) break;
+      const auto& child = nodes_[key.node];
+      if (passed_by(child) != passed || at_ceiling(key.node, cls)) continue;
+      step(key.node, cls, rate * child.set.weight);
+    }
+  }
+}
+
+const std::vector<RequestId>& Shares::in_turn(ClassIndex cls) {
+  found_.clear();
+  if (cls < classes_.size()) walk(0, cls, fleet_pool());
+  return found_;
+}
+
+// ---- changes ---------------------------------------------------------------------------------------------
+void Shares::adjust(const std::vector<Override>& overrides) {
+  if (overrides == overrides_) return;
+  const auto set = [this](Number n, double weight, double least, double most) {
+    auto& node = nodes_[n];
+    if (node.requests > 0) nodes_[node.parent].active_weight += weight - node.set.weight;
+    node.set.weight = weight;
+    node.set.min_threads = least;
+    node.set.max_threads = most;
+    rekey(n);
+  };
+  const auto written = [this](const std::string& path) { return tree_.find(path); };
+  for (const auto& old : overrides_) {
+    const auto* group = written(old.path);
+    const auto found = by_path_.find(old.path);
+    if (group != nullptr && found != by_path_.end())
+      set(found->second, group->weight, group->min_threads, group->max_threads);
+  }
+  overrides_ = overrides;
+  for (const auto& one : overrides_) {
+    const auto* group = written(one.path);
+    const auto found = by_path_.find(one.path);
+    if (group != nullptr && found != by_path_.end())
+      set(found->second, one.weight.value_or(group->weight), one.min_threads.value_or(group->min_threads),
+          one.max_threads.value_or(group->max_threads));
+  }
+}
+
+void Shares::reload(Tree tree) {
+  const auto old = std::exchange(nodes_, {});
+  const auto requests = std::exchange(requests_, {});
+  tree_ = std::move(tree);
+  free_.clear();
+  by_path_.clear();
+  by_hash_.clear();
+  untold_.clear();
+  running_.clear();
+  waits_.clear();
+  runs_.clear();
+  made_ = 0;
+  build(tree_);
+  std::map<std::string, Number, std::less<>> came;  // new groups by the old path
+  for (Number n = 1; n < nodes_.size(); ++n) {
+    const auto& set = nodes_[n].set;
+    came[set.was.empty() ? set.path : set.was] = n;
+  }
+  // Old groups' places: by path, or made ones again under their parent's new place; else none.
+  std::vector<std::optional<Number>> now_at(old.size());
+  std::vector<Number> order(old.size());
+  for (Number i = 0; i < order.size(); ++i) order[i] = i;
+  std::ranges::stable_sort(order, {}, [&](Number n) { return old[n].set.depth; });
+  now_at[0] = 0;
+  for (const auto n : order) {
+    const auto& was = old[n];
+    if (n == 0 || !was.live) continue;
+    const auto found = came.find(was.set.path);
+    if (found != came.end()) {
+      now_at[n] = found->second;
+    } else if (was.made && was.set.path != kRemoved && now_at[was.parent]) {
+      const auto& above = nodes_[*now_at[was.parent]].set.path;
+      auto limit = Limit::none;
+      const auto again = find_or_make(above.empty() ? was.set.name : above + "." + was.set.name, true, limit);
+      if (limit == Limit::none) now_at[n] = again;
+    }
+  }
+  for (const auto n : order) {
+    if (!now_at[n]) continue;
+    const auto& was = old[n];
+    auto& node = nodes_[*now_at[n]];
+    node.used = was.used;
+    node.heard = was.heard;
+    node.recent = was.recent;
+    node.recent_at = was.recent_at;
+    node.refused = was.refused;
+    node.idle_since = was.idle_since;
+    // What it owes its siblings, or they owe it, stays; a group that moved owes them as much.
+    if (n != 0) node.v = nodes_[node.parent].floor + (was.v - old[was.parent].floor);
+    if (n != 0) node.key = key_of(*now_at[n]);
+  }
+  std::vector<std::pair<std::uint64_t, RequestId>> by_turn;
+  for (const auto& [id, held] : requests) by_turn.emplace_back(held.turn, id);
+  std::ranges::sort(by_turn);
+  for (const auto& [turn, id] : by_turn) {
+    auto held = requests.at(id);
+    const auto place = now_at[held.node];
+    auto limit = Limit::none;
+    if (place && nodes_[*place].leaf()) {
+      held.node = *place;
+    } else {
+      held.node = find_or_make(kRemoved, false, limit);
+      if (limit != Limit::none) {
+        Group group;
+        group.name = group.path = kRemoved;
+        group.depth = 1;
+        held.node = append(std::move(group), 0);
+        nodes_[held.node].made = true;
+        ++made_;
+      }
+    }
+    const bool waiting = std::exchange(held.waiting, false);
+    auto& again = requests_[id] = held;
+    join(again.node);
+    if (again.wait_until != Time::max() && !again.settled) waits_.insert({again.wait_until, id});
+    if (again.run_until != Time::max() && !again.settled) runs_.insert({again.run_until, id});
+    if (again.running()) running_.insert(id);
+    for (const auto& out : again.out)
+      for (auto n = again.node; !out.ended; n = nodes_[n].parent) {
+        nodes_[n].running += classes_[again.query.cls].threads;
+        nodes_[n].memory += again.query.memory_mb;
+        if (n == 0) break;
+      }
+    if (waiting) queue_up(id, again);
+  }
+  for (Number n = 1; n < nodes_.size(); ++n) rekey(n);
+  const auto overrides = std::exchange(overrides_, {});
+  adjust(overrides);
+}
+
+// ---- other gateways --------------------------------------------------------------------------------------
+std::vector<std::string> Shares::tell(std::size_t most) {
+  std::vector<std::string> all;
+  while (!untold_.empty() && all.size() < most) {
+    std::string text(1, kToldMark);
+    put_u64(text, begun_);
+    ++messages_;
+    while (!untold_.empty() && text.size() + kToldEntry <= kMessage) {
+      const auto n = untold_.begin()->second;
+      untold_.erase(untold_.begin());
+      auto& node = nodes_[n];
+      node.told_at = messages_;
+      const auto hash = hash_of(node.set.path);
+      const auto sum = static_cast<std::uint64_t>(std::max(0.0, node.used) * 1000);
+      put_u16(text, static_cast<unsigned>(hash >> 32));
+      put_u32(text, static_cast<std::uint32_t>(hash));
+      put_u16(text, static_cast<unsigned>(sum >> 32));
+      put_u32(text, static_cast<std::uint32_t>(sum));
+    }
+    all.push_back(std::move(text));
+  }
+  return all;
+}
+
+void Shares::hear(std::uint32_t from, std::string_view bytes) {
+  if (bytes.size() < kToldHead || bytes.size() > kMessage || (bytes.size() - kToldHead) % kToldEntry != 0 ||
+      bytes[0] != kToldMark)
+    return;
+  ByteReader in(bytes.substr(1));
+  const auto begun = in.u64();
+  auto& told = told_by_[from];
+  if (told.begun != begun) told = {begun, {}, {}};
+  told.last = now_;
+  while (!in.done()) {
+    const auto hash = in.number(6), sum = in.number(6);
+    const auto before = told.sums.find(hash);
+    const auto group = by_hash_.find(hash);
+    if (before != told.sums.end() && group != by_hash_.end() && nodes_[group->second].leaf())
+      charge(group->second, static_cast<double>(static_cast<std::int64_t>(sum - before->second)) / 1000,
+             false);
+    told.sums[hash] = sum;
+  }
+}
+
+// ---- for people ------------------------------------------------------------------------------------------
+std::vector<GroupView> Shares::view() const {
+  std::vector<GroupView> all;
+  const auto recent = [this](const Node& node) {
+    return node.recent * std::exp(-secs(now_ - node.recent_at) / kRecent);
+  };
+  const double whole = std::max(1e-9, recent(nodes_[0]));
+  const auto add = [&](auto& self, Number n, double share) -> void {
+    const auto& node = nodes_[n];
+    GroupView one;
+    one.path = node.set.path;
+    one.depth = node.set.depth;
+    one.made = node.made;
+    one.weight = node.set.weight;
+    one.min_threads = node.set.min_threads;
+    one.max_threads = node.set.max_threads;
+    one.share_set = share;
+    one.share_got = recent(node) / whole;
+    one.lent = share - one.share_got;
+    one.used_s = node.used;
+    one.queued = node.queued;
+    one.running = node.running;
+    for (const auto& [limit, count] : node.refused) one.refused[std::string(name_of(limit))] = count;
+    all.push_back(std::move(one));
+    double weights = 0;
+    for (const auto child : node.children) weights += nodes_[child].set.weight;
+    for (const auto child : node.children) self(self, child, share * nodes_[child].set.weight / weights);
+  };
+  add(add, 0, 1);
+  return all;
+}
+
+std::string Shares::path_of(RequestId id) const {
+  const auto found = requests_.find(id);
+  return found == requests_.end() ? "" : nodes_[found->second.node].set.path;
+}
+
+std::string Shares::inconsistency() const {
+  std::vector<std::size_t> queued(nodes_.size()), requests(nodes_.size());
+  std::vector<unsigned> running(nodes_.size());
+  for (const auto& [id, held] : requests_) {
+    unsigned threads = 0;
+    for (const auto& out : held.out) threads += out.ended ? 0 : classes_[held.query.cls].threads;
+    if (held.running() != running_.contains(id)) return "running set and attempts of a request";
+    if (held.waiting && !nodes_[held.node].queue[held.query.cls].contains({held.turn, id}))
+      return "a waiting request is in no queue";
+    for (auto n = held.node;; n = nodes_[n].parent) {
+      queued[n] += held.waiting ? 1 : 0;
+      requests[n] += 1;
+      running[n] += threads;
+      if (n == 0) break;
+    }
+  }
+  for (Number n = 0; n < nodes_.size(); ++n) {
+    const auto& node = nodes_[n];
+    if (!node.live) continue;
+    const auto name = "group \"" + node.set.path + "\": ";
+    if (node.queued != queued[n]) return name + "queued";
+    if (node.requests != requests[n]) return name + "requests";
+    if (node.running != running[n]) return name + "running";
+    double weight = 0;
+    for (const auto child : node.children)
+      weight += nodes_[child].requests > 0 ? nodes_[child].set.weight : 0;
+    if (std::abs(weight - node.active_weight) > 1e-6 * (1 + weight))
+      return name + "weight of active children";
+    for (std::size_t c = 0; c < node.waiting.size(); ++c) {
+      std::size_t waiting = 0;
+      for (const auto child : node.children) {
+        if (nodes_[child].queued_by_class[c] == 0) continue;
+        ++waiting;
+        if (!node.waiting[c].contains(nodes_[child].key)) return name + "a waiting child is not in order";
+      }
+      if (waiting != node.waiting[c].size()) return name + "children in order that do not wait";
+    }
+  }
+  return "";
+}
+
+}  // namespace heronwell::groups
--- a/src/groups/tree.cpp
+++ b/src/groups/tree.cpp
@@ -71,6 +71,7 @@
     const auto number = append(parent, name);
     auto& group = groups_[number];
     group.policy = static_cast<Policy>(one.choice("policy", kPolicies, 0));
+    group.was = one.string("was", "");
     group.weight = one.number("weight", 1, 1e-3, 1e6);
     group.min_threads = one.number("min_threads", 0, 0, kMostThreads);
     if (one.has("max_threads")) group.max_threads = one.number("max_threads", 0, kMostThreads);
--- a/src/groups/tree.hpp
+++ b/src/groups/tree.hpp
@@ -22,6 +22,7 @@
 
 struct Group {
   std::string name, path;  // path: names between dots, without the root's
+  std::string was;         // its path before a reload moved or renamed it; "": the same
   std::size_t parent = 0;
   std::vector<std::size_t> children;  // in the order written
   unsigned depth = 0;                 // of the root 0
--- /dev/null
+++ b/tests/groups/shares_test.cpp
@@ -0,0 +1,568 @@
+// The room alone, under a stand-in for the module: a pool of threads, classes in rank, each free thread to
+// what the room says is in turn.
+#include "groups/shares.hpp"
+
+#include <gtest/gtest.h>
+
+#include <random>
+
+#include "groups/schedule.hpp"
+
+namespace heronwell::groups {
+namespace {
+
+using namespace std::chrono_literals;
+
+Tree tree(const std::string& yaml) {
+  auto section = yaml::Section::text("groups: " + yaml, "test");
+  auto read = Tree::read(section);
+  section.close();
+  return read;
+}
+
+class World {
+ public:
+  World(const std::string& groups, unsigned threads, ShareSettings settings = {},
+        std::vector<Shares::ClassFacts> classes = {{1, false}, {4, false}})
+      : shares(tree(groups), classes, settings),
+        classes_(std::move(classes)),
+        free_(threads),
+        pool_(threads) {}
+
+  // Keeps `count` queries of the class waiting in the group.
+  struct Source {
+    std::string group;
+    ClassIndex cls = 0;
+    Time length{};
+    std::size_t count = 0;
+    std::size_t waiting = 0;
+  };
+  std::vector<Source> sources;
+
+  Limit ask(const std::string& group, ClassIndex cls, Time length, std::size_t source = SIZE_MAX) {
+    const auto id = ++ids_;
+    const auto limit = shares.enter(id, group, true, {cls, 0, std::nullopt});
+    if (limit == Limit::none) asked_[id] = {group, cls, length, source};
+    return limit;
+  }
+
+  void step() {
+    now += 5ms;
+    shares.at(now, pool_);
+    for (const auto& [end, id] : ends_) used[asked_[id].group] += 0.005 * classes_[asked_[id].cls].threads;
+    while (!ends_.empty() && ends_.begin()->first <= now) {
+      const auto id = ends_.begin()->second;
+      ends_.erase(ends_.begin());
+      shares.ended(id, 0, true);
+      shares.settled(id);
+      free_ += classes_[asked_[id].cls].threads;
+      asked_.erase(id);
+    }
+    for (std::size_t s = 0; s < sources.size(); ++s)
+      while (sources[s].waiting < sources[s].count &&
+             ask(sources[s].group, sources[s].cls, sources[s].length, s) == Limit::none)
+        ++sources[s].waiting;
+    while (release()) continue;
+    idle += free_ * 0.005;
+  }
+  void run(Time length) {
+    for (const auto end = now + length; now < end;) step();
+  }
+  std::map<std::string, double> share_over(Time length) {
+    const auto before = used;
+    run(length);
+    std::map<std::string, double> got;
+    double sum = 0;
+    for (const auto& [group, all] : used)
+      sum += got[group] = all - (before.contains(group) ? before.at(group) : 0);
+    for (auto& [group, all] : got) all /= sum;
+    return got;
+  }
+
+  Shares shares;
+  Time now{1s};
+  std::map<std::string, double> used;
+  double idle = 0;                   // thread-seconds
+  unsigned blocked_from = UINT_MAX;  // class that finds no engine
+
+ private:
+  bool release() {
+    for (ClassIndex c = 0; c < classes_.size(); ++c) {
+      if (c >= blocked_from) continue;
+      for (const auto id : shares.in_turn(c)) {
+        if (classes_[c].threads > free_) break;
+        shares.sent(id);
+        free_ -= classes_[c].threads;
+        ends_.emplace(now + asked_[id].length, id);
+        if (asked_[id].source != SIZE_MAX) --sources[asked_[id].source].waiting;
+        return true;
+      }
+    }
+    return false;
+  }
+  struct Asked {
+    std::string group;
+    ClassIndex cls = 0;
+    Time length{};
+    std::size_t source = 0;
+  };
+  std::vector<Shares::ClassFacts> classes_;
+  RequestId ids_ = 0;
+  std::map<RequestId, Asked> asked_;
+  std::set<std::pair<Time, RequestId>> ends_;
+  unsigned free_;
+  double pool_;
+};
+
+TEST(Shares, HoldWithinThreePercentOverTwentySeconds) {
+  World world("{a: {weight: 5}, b: {weight: 3}, c: {weight: 2}}", 16);
+  world.sources = {{"a", 0, 50ms, 20}, {"b", 0, 80ms, 20}, {"c", 0, 20ms, 20}};
+  world.run(5s);
+  auto got = world.share_over(20s);
+  EXPECT_NEAR(got["a"], 0.5, 0.015);
+  EXPECT_NEAR(got["b"], 0.3, 0.015);
+  EXPECT_NEAR(got["c"], 0.2, 0.015);
+}
+
+TEST(Shares, CountEngineTimeSoThatLongReportsDontTakeTheShareOfLookups) {
+  World world("{reports: {}, lookups: {}}", 16);
+  world.sources = {{"reports", 1, 2s, 10}, {"lookups", 0, 30ms, 40}};
+  world.run(15s);  // until it is known what a report takes
+  auto got = world.share_over(20s);
+  EXPECT_NEAR(got["lookups"], 0.5, 0.03);
+  world.sources[1].count = 0;  // what lookups leave is lent
+  world.run(1s);
+  got = world.share_over(10s);
+  EXPECT_GT(got["reports"], 0.99);
+}
+
+TEST(Shares, LentThreadsComeBackWithoutEndingWhatRuns) {
+  World world("{a: {}, b: {}}", 10);
+  world.sources = {{"a", 0, 100ms, 30}};
+  world.run(10s);
+  world.sources.push_back({"b", 0, 100ms, 30});
+  world.run(300ms);
+  auto got = world.share_over(2s);
+  EXPECT_NEAR(got["b"], 0.5, 0.1);  // its bounded credit first
+  got = world.share_over(10s);
+  EXPECT_NEAR(got["b"], 0.5, 0.02);
+}
+
+TEST(Shares, OfOneThousandTimesTheTrafficTakeNoMore) {
+  World world("{loud: {}, quiet: {}}", 8);
+  world.sources = {{"loud", 0, 40ms, 2000}, {"quiet", 0, 40ms, 8}};
+  world.run(2s);
+  EXPECT_NEAR(world.share_over(20s)["quiet"], 0.5, 0.02);
+}
+
+TEST(Shares, AreDividedOnEachLevel) {
+  World world("{x: {weight: 3, groups: {a: {weight: 1}, b: {weight: 2}}}, y: {weight: 1}}", 12);
+  world.sources = {{"x.a", 0, 30ms, 20}, {"x.b", 0, 60ms, 20}, {"y", 0, 50ms, 20}};
+  world.run(3s);
+  auto got = world.share_over(20s);
+  EXPECT_NEAR(got["x.a"], 0.25, 0.015);
+  EXPECT_NEAR(got["x.b"], 0.50, 0.015);
+  EXPECT_NEAR(got["y"], 0.25, 0.015);
+}
+
+TEST(Shares, StrictChildrenGoInTheOrderWritten) {
+  World world("{x: {policy: strict, groups: {first: {}, second: {}}}}", 4);
+  world.sources = {{"x.second", 0, 50ms, 10}, {"x.first", 0, 50ms, 10}};
+  world.run(1s);
+  EXPECT_GT(world.share_over(5s)["x.first"], 0.99);
+}
+
+TEST(Shares, FirstComeChildrenGoAsTheyCame) {
+  World world("{x: {policy: first_come, groups: {a: {}, b: {}}}}", 1);
+  for (int i = 0; i < 10; ++i) {
+    world.ask("x.a", 0, 10ms);
+    world.ask("x.a", 0, 10ms);
+    world.ask("x.b", 0, 10ms);
+  }
+  world.run(170ms);  // about half
+  EXPECT_NEAR(world.used["x.a"] / (world.used["x.a"] + world.used["x.b"]), 2.0 / 3, 0.1);
+}
+
+TEST(Shares, MinimaGoBeforeWeights) {
+  World world("{a: {weight: 100}, b: {weight: 1, min_threads: 4}}", 8);
+  world.sources = {{"a", 0, 50ms, 30}, {"b", 0, 50ms, 30}};
+  world.run(1s);
+  EXPECT_NEAR(world.share_over(10s)["b"], 0.5, 0.02);
+}
+
+TEST(Shares, CeilingsAreNeverPassed) {
+  World world("{a: {max_threads: 3, groups: {x: {}, y: {max_threads: 2}}}, b: {}}", 16);
+  world.sources = {{"a.x", 0, 35ms, 9}, {"a.y", 0, 35ms, 9}, {"b", 0, 35ms, 3}};
+  for (int i = 0; i < 1000; ++i) {
+    world.step();
+    for (const auto& group : world.shares.view()) {
+      if (group.path == "a") {
+        EXPECT_LE(group.running, 3u);
+      }
+      if (group.path == "a.y") {
+        EXPECT_LE(group.running, 2u);
+      }
+    }
+  }
+}
+
+TEST(Shares, RefuseAtOnceWhatCouldNeverRun) {
+  Shares shares(
+      tree("{a: {max_threads: 2, query_work: 1s, query_memory: 64MiB, groups: {x: {max_queued: 2}}}}"),
+      {{1, false}, {4, false}}, {});
+  shares.at(1s, 8);
+  EXPECT_EQ(shares.enter(1, "a.x", false, {1, 0, {}}), Limit::query_threads);
+  EXPECT_EQ(shares.enter(1, "a.x", false, {0, 0, Time(2s)}), Limit::query_work);
+  EXPECT_EQ(shares.enter(1, "a.x", false, {0, 100, {}}), Limit::query_memory);
+  EXPECT_EQ(shares.enter(1, "a", false, {0, 0, {}}), Limit::unknown_group);
+  EXPECT_EQ(shares.enter(1, "b", false, {0, 0, {}}), Limit::unknown_group);
+  EXPECT_EQ(shares.enter(1, "a.x", false, {0, 0, {}}), Limit::none);
+  EXPECT_EQ(shares.enter(2, "a.x", false, {0, 0, {}}), Limit::none);
+  EXPECT_EQ(shares.enter(3, "a.x", false, {0, 0, {}}), Limit::queued);
+  EXPECT_EQ(shares.requests(), 2u);
+  EXPECT_EQ(shares.inconsistency(), "");
+}
+
+TEST(Shares, GiveUpWhatWaitsOrRunsTooLong) {
+  Shares shares(tree("{a: {longest_wait: 100ms, query_time: 200ms}}"), {{1, false}}, {});
+  shares.at(1s, 8);
+  (void)shares.enter(1, "a", false, {});
+  (void)shares.enter(2, "a", false, {});
+  shares.sent(1);
+  EXPECT_EQ(shares.next_due(), 1s + 100ms);
+  shares.at(1s + 100ms, 8);
+  auto over = shares.over();
+  ASSERT_EQ(over.size(), 1u);
+  EXPECT_EQ(over[0].request, 2u);
+  shares.settled(2);
+  shares.at(1s + 200ms, 8);
+  over = shares.over();
+  ASSERT_EQ(over.size(), 1u);
+  EXPECT_EQ(over[0].limit, Limit::run);
+  shares.settled(1);
+  shares.ended(1, 0, true);
+  EXPECT_EQ(shares.requests(), 0u);
+}
+
+// A group whose class finds no engine holds others back for its patience, and for less and less of the time.
+TEST(Shares, LeaveLittleIdleWhereAGroupFindsNoEngine) {
+  World world("{stuck: {weight: 10}, other: {}}", 8);
+  world.blocked_from = 1;
+  world.sources = {{"stuck", 1, 1s, 3}, {"other", 0, 50ms, 30}};
+  world.run(20s);
+  world.idle = 0;
+  world.run(40s);
+  EXPECT_LT(world.idle / (8 * 40), 0.05);
+  EXPECT_EQ(world.used["stuck"], 0);
+}
+
+// With nobody over its slack, a free thread finds whoever waits, in each step of a random life.
+TEST(Shares, KeepTheirSumsAndLeaveNobodyStarving) {
+  for (std::uint32_t seed = 1; seed <= 40; ++seed) {
+    std::mt19937 random(seed);
+    const auto drawn = [&](unsigned n) { return random() % n; };
+    const std::string yaml =
+        "{a: {weight: 3, max_threads: 6, groups: {x: {}, y: {weight: 2}}}, b: {policy: strict, groups: {x: "
+        "{}, y: {}}},"
+        " c: {policy: first_come, groups: {x: {}, y: {}}}, t: {}}";
+    Shares shares(tree(yaml), {{1, false}, {3, true}}, {});
+    const std::vector<std::string> paths{"a.x", "a.y",   "b.x",   "b.y",    "c.x",
+                                         "c.y", "t.one", "t.two", "t.three"};
+    Time now = 1s;
+    RequestId ids = 0;
+    std::map<RequestId, std::size_t> out;  // attempts
+    std::set<RequestId> held;
+    std::set<RequestId> over;  // settled, still out
+    for (int i = 0; i < 3000; ++i) {
+      now += Time(drawn(20'000'000));
+      shares.at(now, 8);
+      const auto what = drawn(100);
+      if (what < 40) {
+        const auto id = ++ids;
+        if (shares.enter(id, paths[drawn(9)], true, {static_cast<ClassIndex>(drawn(2)), 0, {}}) ==
+            Limit::none)
+          held.insert(id);
+      } else if (what < 65) {
+        const auto ids_in_turn = shares.in_turn(static_cast<ClassIndex>(drawn(2)));
+        if (ids_in_turn.empty()) continue;
+        const auto id = ids_in_turn.front();
+        ASSERT_TRUE(held.contains(id)) << "offered what does not wait";
+        shares.sent(id);
+        held.erase(id);
+        ++out[id];
+      } else if (what < 90 && !out.empty()) {
+        auto it = std::next(out.begin(), drawn(static_cast<unsigned>(out.size())));
+        const auto id = it->first;
+        shares.ended(id, it->second - 1, drawn(4) > 0);
+        if (drawn(4) == 0 && !over.contains(id)) {
+          shares.waits(id);
+          held.insert(id);
+        } else if (!over.contains(id)) {
+          shares.settled(id);
+          out.erase(it);
+          continue;
+        }
+        if (over.erase(id) > 0)
+          out.erase(it);
+        else if (!held.contains(id))
+          out.erase(it);
+        else {
+          // Its attempts go on counting from where they were.
+        }
+        if (held.contains(id)) {
+          shares.settled(id);
+          held.erase(id);
+          out.erase(id);
+        }
+      } else if (what < 93 && !held.empty()) {
+        const auto id = *held.begin();
+        shares.settled(id);
+        held.erase(id);
+      } else if (what == 99) {
+        shares.reload(tree(drawn(2) == 0 ? yaml
+                                         : "{a: {weight: 3, groups: {x: {}, moved: {was: b.x}}}, c: {groups: "
+                                           "{x: {}, y: {weight: 4}}}, t: {}}"));
+      }
+      ASSERT_EQ(shares.inconsistency(), "") << "seed " << seed << ", step " << i;
+    }
+    // Nobody starves: all that wait are offered within a bounded number of turns.
+    for (int i = 0; i < 20'000 && !held.empty(); ++i) {
+      now += 10ms;
+      shares.at(now, 8);
+      for (ClassIndex c = 0; c < 2; ++c) {
+        const auto offered = shares.in_turn(c);
+        if (offered.empty()) continue;
+        const auto id = offered.front();
+        shares.sent(id);
+        shares.settled(id);
+        held.erase(id);
+        shares.ended(id, out[id]++, true);
+      }
+      for (const auto& [id, n] : std::map(out)) {
+        if (held.contains(id)) continue;
+        for (std::size_t a = 0; a < n; ++a) shares.ended(id, a, true);
+        shares.settled(id);
+      }
+    }
+    EXPECT_TRUE(held.empty()) << "seed " << seed << ": " << held.size() << " starve";
+    EXPECT_EQ(shares.requests(), 0u);
+  }
+}
+
+TEST(Shares, GoOnOverAReloadWithTheirRequestsAndDebts) {
+  World world("{a: {weight: 1}, b: {weight: 1}}", 8);
+  world.sources = {{"a", 0, 50ms, 20}, {"b", 0, 50ms, 20}};
+  world.run(5s);
+  const auto before = world.shares.requests();
+  world.shares.reload(tree("{x: {weight: 1, groups: {moved: {was: a}}}, b: {weight: 3}}"));
+  EXPECT_EQ(world.shares.requests(), before);
+  EXPECT_EQ(world.shares.inconsistency(), "");
+  world.sources[0].group = "x.moved";
+  world.sources[0].waiting = 20;
+  world.run(2s);
+  auto got = world.share_over(20s);
+  EXPECT_NEAR(got["b"], 0.75, 0.02);
+}
+
+TEST(Shares, RequestsOfARemovedGroupRunToTheirEnd) {
+  World world("{a: {}, b: {}}", 1);
+  for (int i = 0; i < 5; ++i) (void)world.ask("a", 0, 50ms);
+  world.step();
+  world.shares.reload(tree("{b: {}}"));
+  EXPECT_EQ(world.shares.requests(), 5u);
+  EXPECT_EQ(world.ask("a", 0, 50ms), Limit::none);  // made anew, as this world's groups may be
+  world.run(1s);
+  EXPECT_EQ(world.shares.requests(), 0u);
+  EXPECT_NEAR(world.used["a"], 6 * 0.05, 0.04);
+}
+
+TEST(Shares, MadeGroupsAreBoundedAndGoWhenIdle) {
+  ShareSettings settings;
+  settings.most_made = 3;
+  settings.made_idle = 10s;
+  Shares shares(tree("{t: {}}"), {{1, false}}, settings);
+  shares.at(1s, 4);
+  for (RequestId id = 1; id <= 3; ++id)
+    EXPECT_EQ(shares.enter(id, "t.g" + std::to_string(id), true, {}), Limit::none);
+  EXPECT_EQ(shares.enter(4, "t.g4", true, {}), Limit::made);
+  EXPECT_EQ(shares.enter(4, "t.g4", false, {}), Limit::unknown_group);
+  shares.settled(1);
+  EXPECT_EQ(shares.enter(4, "t.g4", true, {}), Limit::made);
+  shares.at(12s, 4);
+  EXPECT_EQ(shares.enter(4, "t.g4", true, {}), Limit::none);
+  EXPECT_EQ(shares.inconsistency(), "");
+}
+
+// Eight gateways with uneven traffic, one with most of a group's; each tells what it used, some messages
+// lost.
+TEST(Shares, HoldOverGatewaysThatTell) {
+  for (const bool telling : {true, false}) {
+    std::vector<std::unique_ptr<World>> worlds;
+    std::mt19937 random(7);
+    for (unsigned i = 0; i < 8; ++i) {
+      worlds.push_back(std::make_unique<World>("{a: {weight: 6}, b: {weight: 4}}", 6));
+      worlds[i]->now += Time(i + 1);
+      // Of a, 60 percent come to gateway 0; it and half the others also see b, the rest see little of a.
+      worlds[i]->sources = {{"a", 0, 40ms, i == 0 ? 60u : 6u}, {"b", 0, 60ms, i == 0 ? 2u : 10u}};
+    }
+    worlds[0]->sources[1].count = 0;  // nobody of b comes here
+    const auto run = [&](Time length) {
+      for (Time t{}; t < length; t += 5ms) {
+        for (auto& world : worlds) world->step();
+        if (!telling || t % Time(200ms) != Time::zero()) continue;
+        for (unsigned i = 0; i < 8; ++i)
+          for (const auto& message : worlds[i]->shares.tell(4))
+            for (unsigned j = 0; j < 8; ++j)
+              if (j != i && random() % 10 != 0) worlds[j]->shares.hear(i, message);
+      }
+    };
+    run(5s);
+    const auto used = [&](const std::string& group) {
+      double sum = 0;
+      for (auto& world : worlds) sum += world->used[group];
+      return sum;
+    };
+    const double a = used("a"), b = used("b");
+    run(20s);
+    const double share = (used("a") - a) / (used("a") - a + used("b") - b);
+    if (telling)
+      EXPECT_NEAR(share, 0.6, 0.05 * 0.6);
+    else
+      EXPECT_GT(share, 0.62);  // gateway 0 serves a alone, and nobody makes up for it
+  }
+}
+
+TEST(Shares, IgnoreMalformedMessages) {
+  Shares shares(tree("{a: {}}"), {{1, false}}, {});
+  shares.at(1s, 4);
+  for (const auto& bytes : {std::string(), std::string("g"), std::string(9, 'g'), std::string(20, 'g'),
+                            std::string(21, 'x'), std::string(300, 'g')})
+    shares.hear(1, bytes);
+  shares.hear(2, std::string(1, 'g') + std::string(20, '\xff'));
+  EXPECT_EQ(shares.inconsistency(), "");
+}
+
+TEST(Shares, AStalledGatewayComesBackWithoutOldCredit) {
+  World stalled("{a: {}, b: {}}", 8), other("{a: {}, b: {}}", 8);
+  stalled.sources = {{"a", 0, 50ms, 20}, {"b", 0, 50ms, 20}};
+  other.sources = {{"b", 0, 50ms, 40}};
+  const auto tell = [&] {
+    for (const auto& m : other.shares.tell(4)) stalled.shares.hear(2, m);
+  };
+  stalled.run(2s);
+  other.run(2s);
+  tell();
+  other.run(20s);  // meanwhile the first one stands still, and b runs elsewhere
+  stalled.now += 20s;
+  tell();
+  stalled.step();  // what was out ends
+  const double before = stalled.used["a"];
+  stalled.run(1s);
+  // What b used elsewhere counts, but no more than the bound: a is not served alone for twenty seconds.
+  EXPECT_LT(stalled.used["a"] - before, 8.5);
+  stalled.run(40s);
+  EXPECT_NEAR(stalled.share_over(10s)["b"], 0.5, 0.02);
+}
+
+// ---- schedules -------------------------------------------------------------------------------------------
+Time at(int year, unsigned month, unsigned day, int hour, int minute) {
+  std::tm tm{};
+  tm.tm_year = year - 1900;
+  tm.tm_mon = static_cast<int>(month) - 1;
+  tm.tm_mday = static_cast<int>(day);
+  tm.tm_hour = hour;
+  tm.tm_min = minute;
+  return std::chrono::seconds(timegm(&tm));
+}
+
+Schedules schedules(const std::string& yaml) {
+  auto section = yaml::Section::text("schedules: " + yaml, "test");
+  auto read = Schedules::read(section, tree("{reports: {weight: 2}, lookups: {weight: 5}}"));
+  section.close();
+  return read;
+}
+
+TEST(Schedules, FollowLocalTimeAndDays) {
+  const auto nights = schedules(
+      "[{name: nights, days: [mon], from: \"22:00\", to: \"06:00\", zone: Europe/Riga, set: {reports: "
+      "{weight: 8}}}]");
+  EXPECT_TRUE(nights.at(at(2026, 11, 30, 19, 59)).empty());  // a Monday, 21:59 there
+  ASSERT_EQ(nights.at(at(2026, 11, 30, 20, 0)).size(), 1u);
+  EXPECT_EQ(nights.at(at(2026, 11, 30, 20, 0))[0].weight, 8);
+  EXPECT_EQ(nights.at(at(2026, 12, 1, 3, 59)).size(), 1u);
+  EXPECT_TRUE(nights.at(at(2026, 12, 1, 4, 0)).empty());
+  EXPECT_TRUE(nights.at(at(2026, 12, 1, 20, 30)).empty());  // Tuesday
+}
+
+TEST(Schedules, KeepToTheClockOnTheWallWhenItChanges) {
+  // In Riga clocks went from 04:00 to 03:00 on 2026-10-25 and from 03:00 to 04:00 on 2026-03-29.
+  const auto s = schedules(
+      "[{name: early, from: \"03:30\", to: \"05:00\", zone: Europe/Riga, set: {reports: {weight: 8}}}]");
+  EXPECT_TRUE(s.at(at(2026, 10, 25, 0, 29)).empty());
+  EXPECT_FALSE(s.at(at(2026, 10, 25, 0, 30)).empty());  // the first 03:30, summer time
+  EXPECT_FALSE(s.at(at(2026, 10, 25, 2, 59)).empty());  // 04:59, winter time
+  EXPECT_TRUE(s.at(at(2026, 10, 25, 3, 0)).empty());
+  EXPECT_TRUE(s.at(at(2026, 3, 29, 0, 59)).empty());
+  EXPECT_FALSE(s.at(at(2026, 3, 29, 1, 0)).empty());  // 03:30 does not come; it begins at the change
+  EXPECT_TRUE(s.at(at(2026, 3, 29, 2, 0)).empty());
+}
+
+TEST(Schedules, RiseAndFallOverTheirRamp) {
+  const auto s = schedules(
+      "[{name: day, from: \"10:00\", to: \"12:00\", ramp: 10min, set: {reports: {weight: 12, max_threads: "
+      "4}}}]");
+  EXPECT_DOUBLE_EQ(*s.at(at(2026, 12, 1, 10, 5))[0].weight, 7);
+  EXPECT_DOUBLE_EQ(*s.at(at(2026, 12, 1, 10, 10))[0].weight, 12);
+  EXPECT_DOUBLE_EQ(*s.at(at(2026, 12, 1, 12, 5))[0].weight, 7);
+  EXPECT_TRUE(s.at(at(2026, 12, 1, 12, 10)).empty());
+  EXPECT_EQ(s.in_force(at(2026, 12, 1, 10, 5)), std::vector<std::string>{"day 50%"});
+}
+
+TEST(Schedules, LaterOnesHoldAndOnceMeansOnce) {
+  const auto s = schedules(
+      "[{name: always, from: \"00:00\", to: \"24:00\", set: {reports: {weight: 3}, lookups: {weight: 4}}},"
+      "{name: fair, from: \"2026-12-24T18:00\", to: \"2026-12-27T00:00\", zone: Europe/Riga, set: {reports: "
+      "{weight: 9}}}]");
+  EXPECT_EQ(s.at(at(2026, 12, 24, 15, 59))[1].weight, 3);
+  EXPECT_EQ(s.at(at(2026, 12, 24, 16, 0))[1].weight, 9);
+  EXPECT_EQ(s.at(at(2026, 12, 26, 22, 0))[1].weight, 3);
+  EXPECT_EQ(s.at(at(2027, 12, 24, 16, 0))[1].weight, 3);
+}
+
+TEST(Schedules, ErrorsTellTheirPlace) {
+  for (const auto& [yaml, told] : std::vector<std::pair<std::string, std::string>>{
+           {"[{name: x, from: \"25:00\", to: \"06:00\", set: {reports: {weight: 8}}}]", "from"},
+           {"[{name: x, from: \"22:00\", to: \"06:00\", zone: Europe/Rigga, set: {reports: {weight: 8}}}]",
+            "zone"},
+           {"[{name: x, from: \"22:00\", to: \"06:00\", days: [monday], set: {reports: {weight: 8}}}]",
+            "days"},
+           {"[{name: x, from: \"22:00\", to: \"06:00\", set: {report: {weight: 8}}}]", "report"},
+           {"[{name: x, from: \"2026-12-24T18:00\", to: \"2026-02-30T18:00\", set: {reports: {weight: 8}}}]",
+            "to"}}) {
+    try {
+      (void)schedules(yaml);
+      ADD_FAILURE() << yaml;
+    } catch (const yaml::Error& error) {
+      EXPECT_NE(std::string(error.what()).find("test:1:"), std::string::npos) << error.what();
+      EXPECT_NE(std::string(error.what()).find(told), std::string::npos) << error.what();
+    }
+  }
+}
+
+// A change of shares in the middle of a burst loses no request and acts within two seconds.
+TEST(Schedules, MoveSharesMidBurst) {
+  World world("{a: {weight: 1}, b: {weight: 1}}", 12);
+  world.sources = {{"a", 0, 60ms, 50}, {"b", 0, 60ms, 50}};
+  world.run(5s);
+  const auto before = world.shares.requests();
+  world.shares.adjust({{"a", 3, std::nullopt, std::nullopt}});
+  EXPECT_EQ(world.shares.requests(), before);
+  world.run(500ms);
+  EXPECT_NEAR(world.share_over(2s)["a"], 0.75, 0.04);
+  world.shares.adjust({});
+  world.run(500ms);
+  EXPECT_NEAR(world.share_over(2s)["a"], 0.5, 0.04);
+}
+
+}  // namespace
+}  // namespace heronwell::groups
