--- a/src/base/yaml.cpp
+++ b/src/base/yaml.cpp
@@ -240,6 +240,14 @@
   return all;
 }
 
+std::string Section::text() const {
+  YAML::Emitter out;
+  out.SetMapFormat(YAML::Flow);
+  out.SetSeqFormat(YAML::Flow);
+  out << node_;
+  return out.c_str();
+}
+
 void Section::close() {
   if (!node_.IsDefined() || !node_.IsMap()) return;
   for (const auto& entry : node_) {
--- a/src/base/yaml.hpp
+++ b/src/base/yaml.hpp
@@ -58,7 +58,8 @@
   std::vector<Section> sections(const std::string& key);  // a list of mappings; missing: none
   std::vector<std::pair<std::string, Section>> named(const std::string& key);  // a mapping of mappings
 
-  void close();  // throws at the first key that was not read
+  [[nodiscard]] std::string text() const;  // as YAML, in one line
+  void close();                            // throws at the first key that was not read
   [[noreturn]] void fail(const std::string& key, const std::string& expected) const;
   [[nodiscard]] const std::string& path() const { return path_; }
 
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -1,22 +1,27 @@
 // Sub-commands and exit codes: 0 done, 1 ran and failed, 2 wrong use or configuration, 3 could not start.
+#include <fmt/ranges.h>
 #include <spdlog/sinks/basic_file_sink.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
 #include <CLI/CLI.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/posix/stream_descriptor.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/streambuf.hpp>
 #include <boost/system/system_error.hpp>
+#include <cctype>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
 #include <iostream>
+#include <nlohmann/json.hpp>
 #include <optional>
 #include <sstream>
+#include <thread>
 
 #include "daemon/config.hpp"
 #include "daemon/graphql.hpp"
@@ -183,6 +188,83 @@
   return text.empty() ? kFailed : kDone;
 }
 
+// ---- groups --------------------------------------------------------------------------------------------
+std::string get(const std::string& host, std::uint16_t port, const std::string& path) {
+  boost::asio::ip::tcp::iostream stream;
+  stream.expires_after(std::chrono::seconds(5));
+  stream.connect(host, std::to_string(port));
+  stream << "GET " << path << " HTTP/1.1\r\nhost: " << host << "\r\nconnection: close\r\n\r\n" << std::flush;
+  const std::string all((std::istreambuf_iterator<char>(stream)), {});
+  const auto end = all.find("\r\n\r\n");
+  if (!all.starts_with("HTTP/1.1 200") || end == std::string::npos)
+    throw std::runtime_error("no groups told by " + host + ":" + std::to_string(port) +
+                             (all.empty() ? "" : " (" + all.substr(9, 3) + ")"));
+  return all.substr(end + 4);
+}
+
+std::string groups_table(const std::string& text) {
+  const auto json = nlohmann::json::parse(text);
+  std::string out =
+      fmt::format("gateway {}, pool {:.1f} threads, schedules: ", json["gateway"].get<std::string>(),
+                  json["pool_threads"].get<double>());
+  std::vector<std::string> schedules = json["schedules"];
+  out += fmt::format("{}\n{:<40} {:>7} {:>7} {:>7} {:>7} {:>7} {:>7} {:>10}  {}\n",
+                     schedules.empty() ? "none" : fmt::format("{}", fmt::join(schedules, ", ")), "group",
+                     "set %", "got %", "lent %", "borr. %", "running", "queued", "engine s", "refused");
+  for (const auto& group : json["groups"]) {
+    const auto path = group["path"].get<std::string>();
+    const auto dot = path.rfind('.');
+    auto name = std::string(2 * group["depth"].get<std::size_t>(), ' ');
+    name += path.empty() ? "root" : dot == std::string::npos ? path : path.substr(dot + 1);
+    if (group["made"].get<bool>()) name += " *";
+    std::string refused;
+    for (const auto& [limit, count] : group["refused"].items())
+      refused += fmt::format("{}{} {}", refused.empty() ? "" : ", ", limit, count.get<std::uint64_t>());
+    const double lent = group["lent"];
+    out += fmt::format("{:<40} {:>7.1f} {:>7.1f} {:>7.1f} {:>7.1f} {:>7} {:>7} {:>10.1f}  {}\n", name,
+                       100 * group["share_set"].get<double>(), 100 * group["share_got"].get<double>(),
+                       100 * std::max(0.0, lent), 100 * std::max(0.0, -lent),
+                       group["running_threads"].get<unsigned>(), group["queued"].get<std::size_t>(),
+                       group["engine_seconds"].get<double>(), refused.empty() ? "-" : refused);
+  }
+  return out;
+}
+
+int show_groups(const std::string& host, std::uint16_t port, Time every) {
+  while (true) {
+    std::cout << groups_table(get(host, port, "/groups")) << std::flush;
+    if (every <= Time::zero()) return kDone;
+    std::this_thread::sleep_for(every);
+    std::cout << "\n";
+  }
+}
+
+struct Explained {
+  groups::Described request;
+  std::vector<std::string> headers;
+  std::string statement;
+};
+
+int explain_group(const std::string& config_file, Explained asked) {
+  const auto config = daemon::read_config(yaml::Section::file(config_file));
+  if (!config.groups) throw yaml::Error(config_file + ":1:1: groups: missing");
+  std::map<std::string, std::string, std::less<>> headers;
+  for (const auto& header : asked.headers) {
+    const auto colon = header.find(':');
+    if (colon == std::string::npos) throw yaml::Error("command line:1:1: --header: expected name: value");
+    auto name = header.substr(0, colon), value = header.substr(colon + 1);
+    std::ranges::transform(name, name.begin(), [](unsigned char c) { return std::tolower(c); });
+    headers[name] = value.substr(std::min(value.find_first_not_of(' '), value.size()));
+  }
+  asked.request.statement = groups::first_word(asked.statement);
+  asked.request.header = [&](std::string_view name) -> std::optional<std::string> {
+    const auto found = headers.find(name);
+    return found == headers.end() ? std::nullopt : std::optional(found->second);
+  };
+  std::cout << config.groups->selectors.explain(asked.request);
+  return config.groups->selectors.choose(asked.request).group.empty() ? kFailed : kDone;
+}
+
 int run_day(const std::string& file, const std::string& folder) {
   const auto day = rehearsal::read_day(file);
   const auto r = rehearsal::run_day(day, folder, std::filesystem::read_symlink("/proc/self/exe"));
@@ -285,6 +367,25 @@
   following->add_option("trace", trace_id, "Its trace id, 32 hex digits, or a traceparent")->required();
   following->add_option("files", trace_files, "Trace files of the routers")->required();
 
+  auto* grouping = app.add_subcommand("groups", "The tree of groups of a running router, as it stands");
+  std::string host = "127.0.0.1", every = "0s";
+  std::uint16_t groups_port = 8080;
+  grouping->add_option("--host", host)->capture_default_str();
+  grouping->add_option("--port", groups_port, "The router's port")->capture_default_str();
+  grouping->add_option("--every", every, "Again and again, at this pace; 0s: once")->capture_default_str();
+  auto* explaining = grouping->add_subcommand("explain", "Which selector a request would match, and why");
+  Explained asked;
+  explaining->add_option("--config", config_file, "YAML file of the router")->required();
+  explaining->add_option("--class", asked.request.cls);
+  explaining->add_option("--tenant", asked.request.tenant);
+  explaining->add_option("--statement", asked.statement);
+  explaining->add_option("--operation", asked.request.operation, "Name of the GraphQL operation");
+  explaining->add_option("--field", asked.request.root_fields, "Root field of the GraphQL operation");
+  explaining->add_option("--subject", asked.request.subject, "As authenticated");
+  explaining->add_option("--address", asked.request.address, "Of the client");
+  explaining->add_option("--tag", asked.request.tags);
+  explaining->add_option("--header", asked.headers, "name: value");
+
   app.add_subcommand("version", "Print the version");
 
   try {
@@ -316,6 +417,8 @@
     if (*load) return run_load(file, ports, start, record);
     if (*day_run) return run_day(file, folder);
     if (*auditing) return audit_day(folder);
+    if (*explaining) return explain_group(config_file, std::move(asked));
+    if (*grouping) return show_groups(host, groups_port, duration("every", every));
     if (*following) return follow(trace_id, trace_files);
     if (*schema_check) {
       auto read = daemon::read_config(yaml::Section::file(config_file));
--- a/src/daemon/client.cpp
+++ b/src/daemon/client.cpp
@@ -42,6 +42,8 @@
   boost::system::error_code ignored;
   socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
   socket_.non_blocking(true, ignored);
+  const auto peer = socket_.remote_endpoint(ignored);
+  if (shard_.selectors() && !ignored) address_ = peer.address().to_string();
   asio::co_spawn(
       socket_.get_executor(), [self = shared_from_this()] { return self->read(); }, asio::detached);
 }
@@ -151,7 +153,13 @@
   if (target == "/healthz" && get)
     return whole(exchange, 200, "text/plain", shard_.stopping() ? "stopping\n" : "ok\n");
   router::Problem problem;
-  if (target == "/graphql" || target == "/v1/query") trace_begin(shard_, *exchange, parser_);
+  if (target == "/groups" && get && shard_.selectors())
+    return whole(exchange, 200, "application/json", shard_.metrics().groups());
+  if (target == "/graphql" || target == "/v1/query") {
+    trace_begin(shard_, *exchange, parser_);
+    if (shard_.selectors())
+      exchange->origin = std::make_shared<Origin>(origin_of(parser_, *shard_.selectors(), address_));
+  }
   if (target == "/graphql" && shard_.graphql() != nullptr)
     return serve_graphql(shard_, *shard_.graphql(), exchange, parser_, body_);
   if (target != "/v1/query") {
--- a/src/daemon/client.hpp
+++ b/src/daemon/client.hpp
@@ -55,7 +55,7 @@
   Socket socket_;
   Timer resume_;  // wakes the reader once the pipeline has room
   http::Parser parser_;
-  std::string body_;
+  std::string body_, address_;  // address: of the client, where groups are on
   std::deque<ExchangePtr> exchanges_;
   std::deque<std::string> out_;
   std::size_t out_bytes_ = 0, out_done_ = 0;  // done: of the first buffer
--- a/src/daemon/config.cpp
+++ b/src/daemon/config.cpp
@@ -124,6 +124,11 @@
   read_engines(file.section("engines"), config.engines);
   read_list(file.section("list"), config.list);
   read_graphql(file.section("graphql"), config.graphql);
+  if (file.has("groups")) {
+    auto groups = file.section("groups");
+    config.groups = groups::Plan::read(groups);
+    config.groups->settings.gateways = config.module.gateways;
+  }
   auto trace = file.section("trace");
   config.trace.file = trace.string("file", "");
   config.trace.sample = trace.number("sample", 0.01, 0, 1);
@@ -216,6 +221,8 @@
       out += "\n";
     }
   }
+  if (c.groups && !c.groups->file.empty()) fmt::format_to(to, "groups:\n  file: {}\n", c.groups->file);
+  if (c.groups && c.groups->file.empty()) fmt::format_to(to, "groups: {}\n", c.groups->text);
   if (!c.trace.file.empty())
     fmt::format_to(to,
                    "trace:\n  file: {}\n  sample: {}\n  keep_trouble: {}\n  queue: {}\n  file_bytes: {}\n  "
--- a/src/daemon/config.hpp
+++ b/src/daemon/config.hpp
@@ -10,6 +10,7 @@
 #include "base/time.hpp"
 #include "base/yaml.hpp"
 #include "graphql/execute.hpp"
+#include "groups/plan.hpp"
 #include "heronwell/gateway.hpp"
 #include "http/message.hpp"
 #include "router/settings.hpp"
@@ -76,6 +77,8 @@
     [[nodiscard]] bool served() const { return !schema.empty() || !sdl.empty(); }
   } graphql;
 
+  std::optional<groups::Plan> groups;
+
   trace::Options trace;
 
   struct Log {
--- a/src/daemon/decisions.cpp
+++ b/src/daemon/decisions.cpp
@@ -17,20 +17,37 @@
   return std::chrono::duration_cast<Time>(std::chrono::system_clock::now().time_since_epoch()) - steady_now();
 }
 
+std::unique_ptr<groups::Shares> shares_of(const Config& config) {
+  if (!config.groups) return nullptr;
+  std::vector<groups::Shares::ClassFacts> facts;
+  for (const auto& cls : config.module.classes) facts.push_back({cls.threads, cls.in_order});
+  return std::make_unique<groups::Shares>(config.groups->tree, std::move(facts), config.groups->settings);
+}
+
+std::string text_of(const std::string& file) {
+  std::ifstream stream(file, std::ios::binary);
+  return {std::istreambuf_iterator<char>(stream), {}};
+}
+
 }  // namespace
 
 Decisions::Decisions(asio::io_context& context, const Config& config, Metrics& metrics, std::uint64_t seed)
     : context_(context),
       config_(config),
       metrics_(metrics),
-      host_(config.module, seed),
+      host_(config.module, seed, 1, shares_of(config)),
       book_(config.names.zones, config.names.kinds, unix_offset()),
       inbox_(context.get_executor(), [this](std::vector<Told>& told) { read(told); }),
       timer_(context.get_executor()),
       measuring_(context.get_executor()),
-      lists_(context.get_executor(), config, [this](Listed listed) {
-        inbox_.put(Told{steady_now(), std::move(listed)});
-      }) {}
+      lists_(context.get_executor(), config,
+             [this](Listed listed) {
+               inbox_.put(Told{steady_now(), std::move(listed)});
+             }),
+      groups_watch_(context.get_executor()) {
+  if (config.groups) schedules_ = config.groups->schedules;
+  if (config.groups) groups_text_ = text_of(config.groups->file);
+}
 
 void Decisions::start(std::vector<Shard*> shards) {
   shards_ = std::move(shards);
@@ -40,6 +57,7 @@
   lists_.start();
   run();
   measure();
+  if (config_.groups && !config_.groups->file.empty()) watch_groups();
 }
 
 void Decisions::stop() {
@@ -47,6 +65,7 @@
   lists_.stop();
   timer_.cancel();
   measuring_.cancel();
+  groups_watch_.cancel();
   boost::system::error_code ignored;
   if (peers_) peers_->close(ignored);
 }
@@ -149,6 +168,7 @@
     metrics_.classes[c].budget->Set(view.budget);
   }
   metrics_.pool->Set(host_.gateway().pool());
+  if (host_.groups() != nullptr) measure_groups();
   metrics_.decision_lag->Set(std::chrono::duration<double>(std::exchange(lag_, Time::zero())).count());
   measuring_.expires_after(kMeasure);
   measuring_.async_wait([this](boost::system::error_code error) {
@@ -156,6 +176,77 @@
   });
 }
 
+// ---- groups ----------------------------------------------------------------------------------------------
+void Decisions::measure_groups() {
+  auto& shares = *host_.groups();
+  const auto unix = steady_now() + unix_offset();
+  shares.at(steady_now(), host_.gateway().pool());
+  shares.adjust(schedules_->at(unix));
+  auto in_force = schedules_->in_force(unix);
+  if (in_force != schedules_in_force_) {
+    metrics_.groups_schedules->Increment();
+    spdlog::info(R"({{"event":"group_schedule","gateway":{},"in_force":{}}})", quoted(config_.name),
+                 quoted(fmt::format("{}", fmt::join(in_force, ", "))));
+    schedules_in_force_ = std::move(in_force);
+  }
+  const auto groups = shares.view();
+  metrics_.measure_groups(groups);
+  std::string json = fmt::format(R"({{"gateway":{},"pool_threads":{:.1f},"schedules":[)",
+                                 quoted(config_.name), host_.gateway().pool());
+  for (std::size_t i = 0; i < schedules_in_force_.size(); ++i)
+    json += (i > 0 ? "," : "") + quoted(schedules_in_force_[i]);
+  json += "],\"groups\":[";
+  for (std::size_t i = 0; i < groups.size(); ++i) {
+    const auto& g = groups[i];
+    json += fmt::format(
+        R"({}{{"path":{},"depth":{},"made":{},"weight":{:.4g},"share_set":{:.4f},"share_got":{:.4f},"lent":{:.4f},"engine_seconds":{:.3f},"queued":{},"running_threads":{},"refused":{{)",
+        i > 0 ? "," : "", quoted(g.path), g.depth, g.made, g.weight, g.share_set, g.share_got, g.lent,
+        g.used_s, g.queued, g.running);
+    bool first = true;
+    for (const auto& [limit, count] : g.refused) {
+      json += fmt::format(R"({}"{}":{})", first ? "" : ",", limit, count);
+      first = false;
+    }
+    json += "}}";
+  }
+  metrics_.groups(json + "]}");
+}
+
+// A file half written, or wrong, changes nothing: it is read again when it has changed.
+void Decisions::watch_groups() {
+  groups_watch_.expires_after(config_.list.watch);
+  groups_watch_.async_wait([this](boost::system::error_code error) {
+    if (error || stopped_) return;
+    auto text = text_of(config_.groups->file);
+    if (!text.empty() && text != groups_text_) {
+      groups_text_ = text;
+      reload_groups(text);
+    }
+    watch_groups();
+  });
+}
+
+void Decisions::reload_groups(const std::string& text) {
+  try {
+    auto section = yaml::Section::text(text, config_.groups->file);
+    auto plan = groups::Plan::read(section);
+    const auto before = host_.groups()->requests();
+    host_.groups()->at(steady_now(), host_.gateway().pool());
+    host_.groups()->reload(std::move(plan.tree));
+    schedules_ = std::move(plan.schedules);
+    const SelectorsPtr selectors = std::make_shared<const groups::Selectors>(std::move(plan.selectors));
+    for (auto& orders : orders_) orders.emplace_back(selectors);
+    metrics_.groups_reloaded->Increment();
+    spdlog::info(R"({{"event":"groups_reloaded","gateway":{},"requests":{}}})", quoted(config_.name), before);
+    measure_groups();
+    run();
+  } catch (const yaml::Error& error) {
+    metrics_.groups_refused_reload->Increment();
+    spdlog::warn(R"({{"event":"groups_reload_refused","gateway":{},"detail":{}}})", quoted(config_.name),
+                 quoted(error.what()));
+  }
+}
+
 // ---- other gateways --------------------------------------------------------------------------------------
 void Decisions::open_peers() {
   std::ifstream file(config_.peers.key_file, std::ios::binary);
--- a/src/daemon/decisions.hpp
+++ b/src/daemon/decisions.hpp
@@ -32,6 +32,9 @@
   void carry_out(router::Command& command);
   void list(const Listed& listed);
   void measure();
+  void measure_groups();
+  void watch_groups();
+  void reload_groups(const std::string& text);
   void open_peers();
   void hear_peers();
   void tell_peers(const router::TellPeers& tell);
@@ -50,6 +53,10 @@
   ListSource lists_;
   std::function<void()> ready_;
   Time lag_{};
+  std::vector<std::string> schedules_in_force_;
+  std::string groups_text_;  // of the groups' file, as last read
+  Timer groups_watch_;
+  std::optional<groups::Schedules> schedules_;
   bool stopped_ = false;
 
   std::optional<PeerCodec> codec_;
--- a/src/daemon/graphql.cpp
+++ b/src/daemon/graphql.cpp
@@ -189,6 +189,13 @@
     if (!take_key(slot, operation, *definition)) return;
     asked.idempotency_key = slot.key.empty() ? drawn_key() : slot.key;
   }
+  if (client_->origin) {
+    slot.origin = std::make_shared<Origin>(*client_->origin);
+    slot.origin->operation = definition->name;
+    for (const auto& selection : definition->selections)
+      if (selection.kind == graphql::SelectionKind::field)
+        slot.origin->root_fields.emplace_back(selection.name);
+  }
   slot.executed = true;
   const auto planning = steady_now();
   slot.execution = std::make_unique<graphql::Execution>(graphql_.bound(), prepared.document, *definition,
@@ -277,6 +284,7 @@
   exchange->call = call.id << 16 | slot;
   exchange->statement_number = number;
   exchange->began = steady_now();
+  exchange->origin = slots_[slot].origin;
   if (client_->trail) {
     exchange->trail = client_->trail;
     exchange->span = client_->trail->fresh();
--- a/src/daemon/graphql.hpp
+++ b/src/daemon/graphql.hpp
@@ -68,6 +68,7 @@
     std::shared_ptr<const graphql::Prepared> prepared;
     std::unique_ptr<graphql::Execution> execution;
     std::string response, key;  // key: taken in Keys
+    std::shared_ptr<Origin> origin;
     bool executed = false, repeatable = false;
     bool done() const { return !response.empty(); }
   };
--- /dev/null
+++ b/src/daemon/grouping.cpp
@@ -0,0 +1,40 @@
+#include "daemon/grouping.hpp"
+
+namespace heronwell::daemon {
+
+Origin origin_of(const http::Parser& request, const groups::Selectors& selectors, std::string address) {
+  Origin origin;
+  origin.address = std::move(address);
+  for (const auto& name : selectors.headers())
+    if (const auto field = request.find(name)) origin.headers.emplace(name, *field);
+  auto tags = request.find(kTagsField).value_or("");
+  while (!tags.empty()) {
+    const auto comma = tags.find(',');
+    auto tag = tags.substr(0, comma);
+    while (tag.starts_with(' ')) tag.remove_prefix(1);
+    while (tag.ends_with(' ')) tag.remove_suffix(1);
+    if (!tag.empty()) origin.tags.emplace_back(tag);
+    if (comma == std::string_view::npos) break;
+    tags.remove_prefix(comma + 1);
+  }
+  return origin;
+}
+
+groups::Described described(const Origin& origin, std::string cls, std::string tenant,
+                            std::string_view statement) {
+  groups::Described d;
+  d.cls = std::move(cls);
+  d.tenant = std::move(tenant);
+  d.operation = origin.operation;
+  d.root_fields = origin.root_fields;
+  d.statement = groups::first_word(statement);
+  d.address = origin.address;
+  d.tags = origin.tags;
+  d.header = [&origin](std::string_view name) -> std::optional<std::string> {
+    const auto found = origin.headers.find(name);
+    return found == origin.headers.end() ? std::nullopt : std::optional(found->second);
+  };
+  return d;
+}
+
+}  // namespace heronwell::daemon
--- a/src/daemon/metrics.cpp
+++ b/src/daemon/metrics.cpp
@@ -50,6 +50,9 @@
   list_updates = counter("heronwell_list_updates_total", "Engine lists taken");
   list_failures = counter("heronwell_list_failures_total", "Calls for the engine list that failed");
   list_refused = counter("heronwell_list_entries_refused_total", "Entries left out of a list");
+  groups_reloaded = counter("heronwell_groups_reloads_total", "Groups' files taken");
+  groups_refused_reload = counter("heronwell_groups_reloads_refused_total", "Groups' files with an error");
+  groups_schedules = counter("heronwell_groups_schedule_changes_total", "Changes of what schedules set");
   peers_sent = counter("heronwell_peer_messages_sent_total", "Messages to other gateways");
   peers_taken = counter("heronwell_peer_messages_taken_total", "Messages of other gateways");
   peers_forged = counter("heronwell_peer_messages_forged_total", "Messages whose MAC is wrong");
@@ -75,6 +78,78 @@
       gauge("heronwell_decision_lag_seconds", "Longest wait of an event for the decision strand of late");
 }
 
+void Metrics::measure_groups(const std::vector<groups::GroupView>& groups) {
+  using prometheus::BuildCounter;
+  using prometheus::BuildGauge;
+  struct Sum {
+    double queued = 0, running = 0, set = 0, got = 0, used = 0;
+    std::map<std::string, std::uint64_t> refused;
+  };
+  std::map<std::string, Sum> sums;
+  for (const auto& group : groups) {
+    const auto dot = group.path.rfind('.');
+    const auto above = dot == std::string::npos ? std::string() : group.path.substr(0, dot + 1);
+    const auto name = group.made ? above + "*" : group.path;
+    if (!sums.contains(name) && sums.size() >= kMostGroups) continue;
+    auto& sum = sums[name];
+    sum.queued += static_cast<double>(group.queued);
+    sum.running += group.running;
+    sum.set += group.share_set;
+    sum.got += group.share_got;
+    sum.used += group.used_s;
+    for (const auto& [limit, count] : group.refused) sum.refused[limit] += count;
+  }
+  auto& queued = BuildGauge().Name("heronwell_group_queued").Help("Requests held").Register(registry_);
+  auto& running =
+      BuildGauge().Name("heronwell_group_running_threads").Help("Threads out").Register(registry_);
+  auto& set = BuildGauge().Name("heronwell_group_share_set").Help("Share by weights").Register(registry_);
+  auto& got =
+      BuildGauge().Name("heronwell_group_share_got").Help("Share of engine time of late").Register(registry_);
+  auto& used = BuildCounter()
+                   .Name("heronwell_group_engine_seconds_total")
+                   .Help("Thread-seconds on engines")
+                   .Register(registry_);
+  auto& refused = BuildCounter()
+                      .Name("heronwell_group_refused_total")
+                      .Help("Requests ended by a group's limit")
+                      .Register(registry_);
+  const auto raise = [](prometheus::Counter& counter, double to) {
+    counter.Increment(std::max(0.0, to - counter.Value()));
+  };
+  for (auto& [name, group] : groups_)
+    if (!sums.contains(name)) sums[name] = {};  // removed: its gauges fall to nothing
+  for (const auto& [name, sum] : sums) {
+    const prometheus::Labels labels{{"group", name.empty() ? "root" : name}};
+    auto& group = groups_
+                      .try_emplace(name, PerGroup{&queued.Add(labels),
+                                                  &running.Add(labels),
+                                                  &set.Add(labels),
+                                                  &got.Add(labels),
+                                                  &used.Add(labels),
+                                                  {}})
+                      .first->second;
+    group.queued->Set(sum.queued);
+    group.running->Set(sum.running);
+    group.share_set->Set(sum.set);
+    group.share_got->Set(sum.got);
+    raise(*group.used, sum.used);
+    for (const auto& [limit, count] : sum.refused) {
+      auto& counter = group.refused[limit];
+      if (counter == nullptr) counter = &refused.Add({{"group", labels.at("group")}, {"limit", limit}});
+      raise(*counter, static_cast<double>(count));
+    }
+  }
+}
+
+void Metrics::groups(std::string json) {
+  const std::lock_guard lock(mutex_);
+  groups_json_ = std::move(json);
+}
+std::string Metrics::groups() const {
+  const std::lock_guard lock(mutex_);
+  return groups_json_;
+}
+
 std::string Metrics::text() const { return prometheus::TextSerializer().Serialize(registry_.Collect()); }
 
 }  // namespace heronwell::daemon
--- a/src/daemon/metrics.hpp
+++ b/src/daemon/metrics.hpp
@@ -8,9 +8,12 @@
 #include <prometheus/registry.h>
 
 #include <map>
+#include <mutex>
 #include <string>
 #include <vector>
 
+#include "groups/shares.hpp"
+
 namespace heronwell::daemon {
 
 class Metrics {
@@ -31,10 +34,26 @@
   prometheus::Counter *graphql_served, *graphql_errors, *graphql_rejected, *graphql_left, *graphql_statements;
   prometheus::Gauge *graphql_open, *open, *pool, *clients, *engine_connections, *engines_ready, *decision_lag;
 
+  // Figures of the groups that are written down; those made on demand are summed under their parent's "*".
+  static constexpr std::size_t kMostGroups = 500;  // further ones are left out of the metrics
+  void measure_groups(const std::vector<groups::GroupView>& groups);
+  // The groups as JSON, for `heronwell groups`; from any thread.
+  void groups(std::string json);
+  [[nodiscard]] std::string groups() const;
+  prometheus::Counter *groups_reloaded, *groups_refused_reload, *groups_schedules;
+
   [[nodiscard]] std::string text() const;
 
  private:
+  struct PerGroup {
+    prometheus::Gauge *queued, *running, *share_set, *share_got;
+    prometheus::Counter* used;
+    std::map<std::string, prometheus::Counter*> refused;
+  };
   prometheus::Registry registry_;
+  std::map<std::string, PerGroup> groups_;
+  mutable std::mutex mutex_;
+  std::string groups_json_;
 };
 
 }  // namespace heronwell::daemon
--- a/src/daemon/shard.cpp
+++ b/src/daemon/shard.cpp
@@ -58,8 +58,10 @@
       index_(index),
       pool_cap_(std::max<std::size_t>(1, config.engines.connections / shards)),
       orders_(context_.get_executor(), [this](std::vector<Order>& orders) { carry_out(orders); }),
+      tenants_(router::tenant_names(config.module)),
       sweeper_(context_.get_executor()),
       turn_(steady_now()) {
+  if (config.groups) selectors_ = std::make_shared<const groups::Selectors>(config.groups->selectors);
   tick();
 }
 
@@ -115,6 +117,7 @@
   exchange->tenant = ask.asked.tenant;
   exchange->deadline = exchange->began + ask.asked.time_left;
   ask.asked.time_left = std::max(Time::zero(), exchange->deadline - steady_now());
+  if (!choose_group(exchange, ask)) return;
   const bool turned_off = stopping_ && exchange->client;  // what was taken before goes on to its end
   if (turned_off ||
       exchanges_.size() >= std::max<std::size_t>(1, config_.module.max_open / config_.threads)) {
@@ -134,6 +137,28 @@
   tell(Took{ask});
 }
 
+// False: no group takes it, and its client was told.
+bool Shard::choose_group(const ExchangePtr& exchange, router::Ask& ask) {
+  if (!selectors_) return true;
+  static const Origin kNone;
+  const auto& tenant = exchange->tenant < tenants_.size() ? tenants_[exchange->tenant] : std::string();
+  auto chosen = selectors_->choose(described(exchange->origin ? *exchange->origin : kNone,
+                                             config_.module.classes[exchange->cls].name, tenant,
+                                             exchange->statement->text));
+  if (!chosen.group.empty()) {
+    ask.group = exchange->group = std::move(chosen.group);
+    ask.group_made = chosen.made;
+    return true;
+  }
+  router::Problem problem;
+  problem.status = 403;
+  problem.detail = std::move(chosen.why);
+  metrics_.rejected->Increment();
+  finished(exchange, {'B', '-'}, problem.status);
+  tell_problem(exchange, problem);
+  return false;
+}
+
 void Shard::left(const ExchangePtr& exchange) {
   metrics_.classes[exchange->cls].left->Increment();
   finished(exchange, {'C', exchange->streaming ? 'D' : exchange->attempts > 0 ? 'A' : 'H'}, 0);
@@ -157,10 +182,14 @@
   if (good) metrics_.classes[exchange->cls].seconds->Observe(std::chrono::duration<double>(took).count());
   if (config_.log.requests == "none" || (config_.log.requests == "problems" && good)) return;
   const auto& cls = config_.module.classes[exchange->cls];
+  std::string group;
+  if (!exchange->group.empty()) group = ",\"group\":" + quoted(exchange->group);
+  if (exchange->limit != groups::Limit::none)
+    group += fmt::format(",\"limit\":\"{}\"", groups::name_of(exchange->limit));
   spdlog::info(
-      R"({{"event":"request","gateway":{},"ticket":{},"class":{},"end":"{}","status":{},"ms":{:.3f},"attempts":{},"engine":{}}})",
+      R"({{"event":"request","gateway":{},"ticket":{},"class":{},"end":"{}","status":{},"ms":{:.3f},"attempts":{},"engine":{}{}}})",
       quoted(config_.name), exchange->ticket, quoted(exchange->ticket == 0 ? "" : cls.name), end.text(),
-      status, milliseconds(took), exchange->attempts, exchange->engine);
+      status, milliseconds(took), exchange->attempts, exchange->engine, group);
 }
 
 // ---- attempts ------------------------------------------------------------------------------------------
@@ -175,6 +204,10 @@
       update(**fleet);
       continue;
     }
+    if (const auto* selectors = std::get_if<SelectorsPtr>(&order)) {
+      selectors_ = *selectors;
+      continue;
+    }
     std::visit(
         [this](const auto& command) {
           if constexpr (requires { on(command); }) on(command);
@@ -377,7 +410,9 @@
   if (!exchange) return;
   forget(exchange);
   trace_choice(*this, *exchange, order.knew, 0);
-  const auto problem = router::problem_of(order);
+  exchange->limit = order.limit;
+  auto problem = router::problem_of(order);
+  if (order.limit != groups::Limit::none) problem.detail += ", group " + exchange->group;
   auto& counts = metrics_.classes[exchange->cls];
   using router::Ending;
   (order.ending == Ending::refused  ? counts.refused
--- a/src/daemon/shard.hpp
+++ b/src/daemon/shard.hpp
@@ -16,6 +16,7 @@
 
 #include "base/json.hpp"
 #include "daemon/config.hpp"
+#include "daemon/grouping.hpp"
 #include "daemon/mailbox.hpp"
 #include "daemon/metrics.hpp"
 #include "fleet/list.hpp"
@@ -88,7 +89,8 @@
 
 // ---- commands for a shard --------------------------------------------------------------------------------
 using Fleet = std::map<EngineId, fleet::Known>;
-using Order = std::variant<router::Command, std::shared_ptr<const Fleet>>;
+using SelectorsPtr = std::shared_ptr<const groups::Selectors>;
+using Order = std::variant<router::Command, std::shared_ptr<const Fleet>, SelectorsPtr>;
 
 class ClientConnection;
 class EngineConnection;
@@ -137,7 +139,10 @@
   EngineId engine = 0;    // of the last attempt
   trace::TrailPtr trail;  // null: not traced
   trace::SpanId span = 0;
-  std::string trace_response, field;  // field: of a statement
+  std::string trace_response, field;          // field: of a statement
+  std::shared_ptr<Origin> origin;             // null: no groups
+  std::string group;                          // its path
+  groups::Limit limit = groups::Limit::none;  // of the group, that ended it
   Time held_since{}, stream_since{};
 };
 struct Attempt {
@@ -193,6 +198,8 @@
   // The moment since when what is read now may have lain here unread: now, or, right after this thread had no
   // turn for a while (a stopped process), the last moment it had one. Deadlines run from there.
   Time unread_since();
+  // Null: there are no groups.
+  [[nodiscard]] const SelectorsPtr& selectors() const { return selectors_; }
   void stop_serving();  // no new requests; connections close as they fall idle
 
   [[nodiscard]] const Config& config() const { return config_; }
@@ -219,6 +226,7 @@
   void on(const router::Answer& order);
   void on(const router::ProbeEngine& order);
   void update(const Fleet& fleet);
+  bool choose_group(const ExchangePtr& exchange, router::Ask& ask);
   void launch(const AttemptPtr& attempt);
   ExchangePtr exchange(Ticket ticket);
   void forget(const ExchangePtr& exchange);
@@ -237,6 +245,8 @@
   Mailbox<Order, Executor> orders_;
   Inbox* inbox_ = nullptr;
   Graphql* graphql_ = nullptr;
+  SelectorsPtr selectors_;
+  std::vector<std::string> tenants_;
   Timer sweeper_;
   std::uint64_t tickets_ = 0;
   bool stopping_ = false;
--- a/src/daemon/tracing.cpp
+++ b/src/daemon/tracing.cpp
@@ -94,6 +94,9 @@
     }
     if (taken) {
       span->attributes.emplace_back("class", cls.name);
+      if (!exchange.group.empty()) span->attributes.emplace_back("group", exchange.group);
+      if (exchange.limit != groups::Limit::none)
+        span->attributes.emplace_back("group.limit", std::string(groups::name_of(exchange.limit)));
       span->attributes.emplace_back("attempts", Int{exchange.attempts});
       span->attributes.emplace_back("late", now - exchange.began > cls.aim);
     }
--- a/src/groups/selector.cpp
+++ b/src/groups/selector.cpp
@@ -153,9 +153,45 @@
   return bits % 8 == 0 || ((other[whole] ^ bytes[whole]) >> (8 - bits % 8)) == 0;
 }
 
+std::string first_word(std::string_view text) {
+  while (!text.empty()) {
+    if (text.starts_with("--")) {
+      const auto end = text.find('\n');
+      text.remove_prefix(end == std::string_view::npos ? text.size() : end + 1);
+    } else if (text.starts_with("/*")) {
+      const auto end = text.find("*/", 2);
+      text.remove_prefix(end == std::string_view::npos ? text.size() : end + 2);
+    } else if (std::string_view(" \t\r\n;(").find(text.front()) != std::string_view::npos) {
+      text.remove_prefix(1);
+    } else {
+      break;
+    }
+  }
+  std::string word;
+  for (const char c : text) {
+    const bool upper = c >= 'A' && c <= 'Z';
+    if ((!upper && (c < 'a' || c > 'z')) || word.size() >= kMostSegment) break;
+    word.push_back(upper ? static_cast<char>(c + 32) : c);
+  }
+  return word;
+}
+
 // ---- rules ---------------------------------------------------------------------------------------------
-Selectors Selectors::read(yaml::Section& section) {
+Selectors Selectors::read(yaml::Section& section, const Tree* tree) {
   Selectors all;
+  const auto stands = [tree](yaml::Section& at, const std::string& key, const std::string& path) {
+    if (tree == nullptr) return;
+    const auto hole = path.find("${");
+    const auto dot = hole == std::string::npos ? path.size() : path.rfind('.', hole);
+    if (hole != std::string::npos && path.find('.', hole) != std::string::npos)
+      at.fail(key, "expected ${...} in the last name of the path only");
+    const auto fixed = dot == std::string::npos ? std::string() : path.substr(0, dot);
+    if (fixed.empty() && hole != std::string::npos) return;  // made under the root
+    const auto* group = tree->find(fixed);
+    if (group == nullptr) at.fail(key, fmt::format("the tree has no group \"{}\"", fixed));
+    if (hole == std::string::npos && !group->children.empty())
+      at.fail(key, fmt::format("\"{}\" has children; queries wait and run in groups without any", fixed));
+  };
   unsigned number = 0;
   for (auto& one : section.sections("selectors")) {
     Rule rule;
@@ -202,12 +238,15 @@
       filled = filled.substr(0, filled.find(hole)) + "x" + filled.substr(filled.find(hole) + hole.size());
     }
     if (!well_named(filled)) one.fail("group", "expected names of letters, digits, _ and - between dots");
+    rule.makes = !names->empty();
+    stands(one, "group", rule.group);
     one.close();
     all.rules_.push_back(std::move(rule));
   }
   all.default_ = section.string("default", "");
   if (!all.default_.empty() && !well_named(all.default_))
     section.fail("default", "expected names of letters, digits, _ and - between dots");
+  if (!all.default_.empty()) stands(section, "default", all.default_);
   return all;
 }
 
@@ -217,6 +256,12 @@
   const auto shown = [](std::string_view text) {
     return text.empty() ? std::string("not known") : fmt::format("\"{}\"", text);
   };
+  const auto asks = [&rule](std::string_view attribute) {
+    return std::ranges::any_of(rule.texts, [&](const auto& one) { return one.first == attribute; });
+  };
+  if (!request.subject.empty() && !asks("subject") && (!rule.headers.empty() || asks("tag")))
+    return fmt::format("subject is \"{}\", beside whom a claim in header or tag does not count",
+                       request.subject);
   for (const auto& [attribute, match] : rule.texts) {
     const auto all = values(request, attribute);
     const auto found =
@@ -239,9 +284,15 @@
   return "";
 }
 
-Chosen Selectors::named(const Rule& rule, const Described&,
-                        const std::map<std::string, std::string>& captured) const {
-  Chosen chosen{rule.group, rule.number, ""};
+std::vector<std::string> Selectors::headers() const {
+  std::set<std::string> names;
+  for (const auto& rule : rules_)
+    for (const auto& [name, match] : rule.headers) names.insert(name);
+  return {names.begin(), names.end()};
+}
+
+Chosen Selectors::named(const Rule& rule, const std::map<std::string, std::string>& captured) const {
+  Chosen chosen{rule.group, rule.number, rule.makes, ""};
   const auto names = *holes(rule.group);
   for (const auto& name : names) {
     const auto hole = "${" + name + "}";
@@ -256,17 +307,17 @@
     chosen.group.replace(chosen.group.find(hole), hole.size(), text);
   }
   if (!well_named(chosen.group))
-    return {"", rule.number, fmt::format("selector {}: the group's name is too long", rule.number)};
+    return {"", rule.number, false, fmt::format("selector {}: the group's name is too long", rule.number)};
   return chosen;
 }
 
 Chosen Selectors::choose(const Described& request) const {
   for (const auto& rule : rules_) {
     std::map<std::string, std::string> captured;
-    if (misfit(rule, request, captured).empty()) return named(rule, request, captured);
+    if (misfit(rule, request, captured).empty()) return named(rule, captured);
   }
-  if (default_.empty()) return {"", 0, "no selector matches, and there is no default group"};
-  return {default_, 0, ""};
+  if (default_.empty()) return {"", 0, false, "no selector matches, and there is no default group"};
+  return {default_, 0, false, ""};
 }
 
 std::string Selectors::explain(const Described& request) const {
@@ -278,7 +329,7 @@
       out += fmt::format("selector {}: {}\n", rule.number, wrong);
       continue;
     }
-    const auto chosen = named(rule, request, captured);
+    const auto chosen = named(rule, captured);
     return out + (chosen.group.empty()
                       ? chosen.why + "\nrefused\n"
                       : fmt::format("selector {}: all fits\ngroup {}\n", rule.number, chosen.group));
--- a/src/groups/selector.hpp
+++ b/src/groups/selector.hpp
@@ -22,6 +22,7 @@
 
 #include "base/time.hpp"
 #include "base/yaml.hpp"
+#include "groups/tree.hpp"
 
 namespace heronwell::groups {
 
@@ -37,6 +38,9 @@
   std::function<std::optional<std::string>(std::string_view)> header;  // by lower-case name
 };
 
+// The first word of a statement, in lower case, comments passed over; "" if it begins with none.
+std::string first_word(std::string_view statement);
+
 // A text against one text, a set of them, or a pattern (RE2: linear in the text) that matches all of it.
 class Match {
  public:
@@ -62,36 +66,42 @@
   [[nodiscard]] bool holds(std::string_view address) const;
 };
 
+// What a client only claims (header fields, tags) counts where nobody has authenticated it, or where the rule
+// also names the subject: no client takes another's place by a claim.
 struct Rule {
   unsigned number = 0;                               // from 1, as written
   std::vector<std::pair<std::string, Match>> texts;  // by attribute: class, tenant, operation, field ...
   std::vector<std::pair<std::string, Match>> headers;
   std::vector<Network> networks;
-  std::string group;  // path, with ${name} for attributes and captures
+  std::string group;   // path, with ${name} for attributes and captures
+  bool makes = false;  // it has some: the group is made on demand
 };
 
 struct Chosen {
   std::string group;  // path; empty: none, and `why` tells
   unsigned rule = 0;  // 0: the default
+  bool made = false;  // a template named it
   std::string why;
 };
 
 class Selectors {
  public:
   // Reads "selectors" and "default" of a section. Throws yaml::Error: unknown attributes, bad patterns and
-  // networks, ${names} that the rule does not give.
-  static Selectors read(yaml::Section& section);
+  // networks, ${names} that the rule does not give; with a tree also groups that it does not have, or that
+  // have children, and templates without a parent in it.
+  static Selectors read(yaml::Section& section, const Tree* tree = nullptr);
 
   [[nodiscard]] Chosen choose(const Described& request) const;
   // For people: each rule up to the one that matched, and what did not fit.
   [[nodiscard]] std::string explain(const Described& request) const;
   [[nodiscard]] const std::vector<Rule>& rules() const { return rules_; }
+  // Names of the header fields that rules look at, in lower case.
+  [[nodiscard]] std::vector<std::string> headers() const;
 
  private:
   [[nodiscard]] std::string misfit(const Rule& rule, const Described& request,
                                    std::map<std::string, std::string>& captured) const;
-  [[nodiscard]] Chosen named(const Rule& rule, const Described& request,
-                             const std::map<std::string, std::string>& captured) const;
+  [[nodiscard]] Chosen named(const Rule& rule, const std::map<std::string, std::string>& captured) const;
 
   std::vector<Rule> rules_;
   std::string default_;
--- a/src/groups/shares.cpp
+++ b/src/groups/shares.cpp
@@ -23,7 +23,6 @@
 constexpr double kMostSize = 40;      // of a query by its estimate, in its class's mean
 constexpr Time kToldLife = 60s;       // a gateway unheard of for so long counts no more
 constexpr std::size_t kToldHead = 1 + 8, kToldEntry = 6 + 6;
-constexpr char kToldMark = 'g';
 const std::string kRemoved = "removed";
 
 double secs(Time t) { return std::chrono::duration<double>(t).count(); }
@@ -113,7 +112,13 @@
     return found->second;
   }
   limit = Limit::unknown_group;
-  if (!made) return 0;
+  if (!made) {  // chosen by selectors that a reload has just replaced
+    const auto former = former_.find(path);
+    const auto now_at = former == former_.end() ? by_path_.end() : by_path_.find(former->second);
+    if (now_at == by_path_.end() || !nodes_[now_at->second].leaf()) return 0;
+    limit = Limit::none;
+    return now_at->second;
+  }
   const auto dot = path.rfind('.');
   const auto parent = dot == std::string_view::npos ? by_path_.end() : by_path_.find(path.substr(0, dot));
   if (dot != std::string_view::npos && parent == by_path_.end()) return 0;
@@ -284,6 +289,7 @@
 
 void Shares::queue_up(RequestId id, Held& held) {
   held.waiting = true;
+  if (held.wait_until != Time::max()) waits_.insert({held.wait_until, id});
   const auto c = held.query.cls;
   auto& leaf = nodes_[held.node];
   if (leaf.queue.empty()) leaf.queue.resize(classes_.size());
@@ -306,6 +312,7 @@
 
 void Shares::unqueue(RequestId id, Held& held) {
   if (!std::exchange(held.waiting, false)) return;
+  waits_.erase({held.wait_until, id});
   const auto c = held.query.cls;
   nodes_[held.node].queue[c].erase({held.turn, id});
   for (auto n = held.node;; n = nodes_[n].parent) {
@@ -372,7 +379,6 @@
     const auto& set = nodes_[at].set;
     if (set.longest_wait) held.wait_until = std::min(held.wait_until, now_ + *set.longest_wait);
   }
-  if (held.wait_until != Time::max()) waits_.insert({held.wait_until, id});
   join(n);
   queue_up(id, held);
   return Limit::none;
@@ -437,7 +443,6 @@
   auto& held = found->second;
   held.settled = true;
   unqueue(id, held);
-  waits_.erase({held.wait_until, id});
   runs_.erase({held.run_until, id});
   if (!held.running()) forget(id);
 }
@@ -459,29 +464,22 @@
 
 std::vector<Shares::Over> Shares::over() {
   std::vector<Over> all;
-  for (const auto& [until, id] : waits_) {
-    if (until > now_) break;
-    const auto& held = requests_.at(id);
-    if (!held.waiting) continue;
-    ++nodes_[held.node].refused[Limit::wait];
-    all.push_back({id, Limit::wait});
-  }
-  for (const auto& [until, id] : runs_) {
-    if (until > now_) break;
-    ++nodes_[requests_.at(id).node].refused[Limit::run];
-    all.push_back({id, Limit::run});
-  }
+  const auto take = [&](std::set<std::pair<Time, RequestId>>& from, Limit limit) {
+    while (!from.empty() && from.begin()->first <= now_) {
+      const auto id = from.begin()->second;
+      from.erase(from.begin());
+      ++nodes_[requests_.at(id).node].refused[limit];
+      all.push_back({id, limit});
+    }
+  };
+  take(waits_, Limit::wait);
+  take(runs_, Limit::run);
   return all;
 }
 
 Time Shares::next_due() const {
-  // A request that is out while its longest wait passes is looked at again when it waits again.
-  Time due = runs_.empty() ? Time::max() : runs_.begin()->first;
-  for (const auto& [until, id] : waits_) {
-    if (!requests_.at(id).waiting) continue;
-    return std::min(due, until);
-  }
-  return due;
+  const auto first = [](const auto& set) { return set.empty() ? Time::max() : set.begin()->first; };
+  return std::min(first(waits_), first(runs_));
 }
 
 // ---- turns -----------------------------------------------------------------------------------------------
@@ -657,6 +655,10 @@
     if (n != 0) node.v = nodes_[node.parent].floor + (was.v - old[was.parent].floor);
     if (n != 0) node.key = key_of(*now_at[n]);
   }
+  former_.clear();
+  for (const auto n : order)
+    if (n != 0 && old[n].live && old[n].leaf())
+      former_[old[n].set.path] = now_at[n] ? nodes_[*now_at[n]].set.path : kRemoved;
   std::vector<std::pair<std::uint64_t, RequestId>> by_turn;
   for (const auto& [id, held] : requests) by_turn.emplace_back(held.turn, id);
   std::ranges::sort(by_turn);
@@ -680,7 +682,6 @@
     const bool waiting = std::exchange(held.waiting, false);
     auto& again = requests_[id] = held;
     join(again.node);
-    if (again.wait_until != Time::max() && !again.settled) waits_.insert({again.wait_until, id});
     if (again.run_until != Time::max() && !again.settled) runs_.insert({again.run_until, id});
     if (again.running()) running_.insert(id);
     for (const auto& out : again.out)
@@ -700,7 +701,7 @@
 std::vector<std::string> Shares::tell(std::size_t most) {
   std::vector<std::string> all;
   while (!untold_.empty() && all.size() < most) {
-    std::string text(1, kToldMark);
+    std::string text(1, kMark);
     put_u64(text, begun_);
     ++messages_;
     while (!untold_.empty() && text.size() + kToldEntry <= kMessage) {
@@ -722,7 +723,7 @@
 
 void Shares::hear(std::uint32_t from, std::string_view bytes) {
   if (bytes.size() < kToldHead || bytes.size() > kMessage || (bytes.size() - kToldHead) % kToldEntry != 0 ||
-      bytes[0] != kToldMark)
+      bytes[0] != kMark)
     return;
   ByteReader in(bytes.substr(1));
   const auto begun = in.u64();
--- a/src/groups/shares.hpp
+++ b/src/groups/shares.hpp
@@ -81,7 +81,7 @@
   void ended(RequestId id, std::size_t attempt, bool ran);  // one attempt, by the number of its send
   void waits(RequestId id);                                 // held again, after an attempt
   void settled(RequestId id);                               // has its final answer
-  // Requests past their group's longest wait or run time: to be given up.
+  // Requests past their group's longest wait or run time: to be given up. Each is told once.
   struct Over {
     RequestId request = 0;
     Limit limit = Limit::wait;
@@ -109,6 +109,7 @@
   // Messages of at most kMessage bytes: engine time used, in running sums, so that a lost one is made good by
   // the next. Groups whose sums have changed, those untold longest first.
   static constexpr std::size_t kMessage = 256;
+  static constexpr char kMark = 'g';  // its first byte; the module's begin with others
   std::vector<std::string> tell(std::size_t most);
   // Ignores what is malformed, whole. The first message of a gateway, or of one begun anew, charges nothing.
   void hear(std::uint32_t from, std::string_view bytes);
@@ -210,6 +211,8 @@
   std::vector<Node> nodes_;  // parents before children; 0: the root
   std::vector<Number> free_;
   std::map<std::string, Number, std::less<>> by_path_;
+  std::map<std::string, std::string, std::less<>>
+      former_;  // leaves before the last reload, where they are now
   std::map<std::uint64_t, Number> by_hash_;
   std::unordered_map<RequestId, Held> requests_;
   std::set<std::pair<Time, RequestId>> waits_, runs_;
--- a/src/rehearsal/demo.cpp
+++ b/src/rehearsal/demo.cpp
@@ -66,6 +66,16 @@
 loads: {{fields: [inflight, util], in_answers: true, tells_cost: true}}
 engines: {{never_began: ["53300"]}}
 graphql: {{sdl: {}}}
+groups:
+  groups:
+    interactive: {{weight: 3}}
+    reports: {{weight: 1, groups: {{daily: {{}}, adhoc: {{max_queued: 100}}}}}}
+    teams: {{weight: 2}}
+  selectors:
+    - {{header: {{x-team: {{pattern: "(?P<team>[a-z0-9-]+)"}}}}, group: "teams.${{team}}"}}
+    - {{class: report, tag: daily, group: reports.daily}}
+    - {{class: report, group: reports.adhoc}}
+  default: interactive
 log: {{requests: problems}}
 )",
                      port, parts_->list->port(), schema);
--- a/src/router/front.cpp
+++ b/src/router/front.cpp
@@ -145,6 +145,35 @@
                                            : "the engine was lost or failed; it may have run";
     if (answer.proven_unrun) problem.detail = "no answer in time; it has not run";
   }
+  using groups::Limit;
+  switch (answer.limit) {
+    case Limit::none:
+      break;
+    case Limit::unknown_group:
+      problem.status = 403, problem.detail = "there is no such group";
+      break;
+    case Limit::made:
+      problem.detail = "there are as many groups on demand as may be";
+      break;
+    case Limit::queued:
+      problem.detail = "as many queries wait as may";
+      break;
+    case Limit::wait:
+      problem.detail = "it has waited as long as queries may";
+      break;
+    case Limit::query_threads:
+      problem.status = 422, problem.detail = "the class needs more threads than the ceiling";
+      break;
+    case Limit::query_work:
+      problem.status = 422, problem.detail = "its estimate of work passes what one query may take";
+      break;
+    case Limit::query_memory:
+      problem.status = 422, problem.detail = "its estimate of memory passes what one query may take";
+      break;
+    case Limit::run:
+      problem.status = 504, problem.detail = "it ran longer than queries may";
+      break;
+  }
   return problem;
 }
 
--- a/src/router/host.cpp
+++ b/src/router/host.cpp
@@ -14,6 +14,12 @@
 template <class... F>
 Overloaded(F...) -> Overloaded<F...>;
 
+// What a group has no room for now may find some later; what passes its limits for one query never will.
+bool comes_back(groups::Limit limit) {
+  using groups::Limit;
+  return limit == Limit::queued || limit == Limit::made || limit == Limit::wait;
+}
+
 bool proves_unrun(Result result) {
   return result == Result::turned_away || result == Result::not_connected || result == Result::moot;
 }
@@ -32,8 +38,12 @@
   return table[static_cast<std::size_t>(from)][static_cast<std::size_t>(to)];
 }
 
-Host::Host(Settings settings, std::uint64_t seed, RequestId first_number)
-    : settings_(std::move(settings)), gateway_(settings_, seed), numbers_(first_number) {}
+Host::Host(Settings settings, std::uint64_t seed, RequestId first_number,
+           std::unique_ptr<groups::Shares> groups)
+    : settings_(std::move(settings)),
+      groups_(std::move(groups)),
+      gateway_(settings_, seed, groups_.get()),
+      numbers_(first_number) {}
 
 Host::Request* Host::find(Ticket ticket, RequestId* id) {
   const auto found = tickets_.find(ticket);
@@ -45,22 +55,34 @@
 void Host::move(Request& request, RequestState to) {
   assert(legal(request.state, to));
   request.state = to;
-  if (to == RequestState::answered) --open_;
+  if (to != RequestState::answered) return;
+  --open_;
+  if (groups_) groups_->settled(request.id);
 }
 
 void Host::arrive(Time now, const Ask& ask) {
   const auto id = numbers_.take(requests_);
   auto& request = requests_[id];
+  request.id = id;
   request.ticket = ask.ticket;
   request.deadline = now + ask.asked.time_left;
   request.cls = ask.asked.cls;
   tickets_.emplace(ask.ticket, id);
   deadlines_.emplace(request.deadline, id);
+  ++open_;
+  ++counters_.taken;
+  if (groups_) {
+    groups_->at(groups_at_ = std::max(now, groups_at_), gateway_.pool());
+    const auto limit =
+        groups_->enter(id, ask.group, ask.group_made, {ask.asked.cls, ask.asked.memory_mb, ask.asked.cost});
+    // The module never hears of what its group does not let in.
+    if (limit != groups::Limit::none)
+      return settle(id, request, Ending::refused,
+                    comes_back(limit) ? settings_.max_retry_after : Time::zero(), early_, limit);
+  }
   auto asked = ask.asked;
   asked.request = id;
   events_.emplace_back(asked);
-  ++open_;
-  ++counters_.taken;
 }
 
 void Host::client_left(Ticket ticket) {
@@ -88,8 +110,11 @@
   outcome.attempt = static_cast<AttemptIndex>(n);
   outcome.engine = attempt.engine;
   outcome.closed = request.state == RequestState::answered;
-  if (request.state == RequestState::out && std::ranges::all_of(request.attempts, &Attempt::ended))
+  if (groups_) groups_->ended(id, n, !proves_unrun(outcome.result));
+  if (request.state == RequestState::out && std::ranges::all_of(request.attempts, &Attempt::ended)) {
     move(request, RequestState::held);
+    if (groups_) groups_->waits(id);
+  }
   events_.emplace_back(std::move(outcome));
   maybe_over_.push_back(id);
 }
@@ -167,6 +192,7 @@
   events_.emplace_back(ProbeResult{engine, result, latency, std::move(load)});
 }
 void Host::peer(std::uint32_t from, std::string bytes) {
+  if (groups_ && bytes.starts_with(groups::Shares::kMark)) return groups_->hear(from, bytes);
   events_.emplace_back(PeerMessage{from, std::move(bytes)});
 }
 
@@ -185,7 +211,9 @@
 }
 
 void Host::run(Time now, std::vector<Command>& out) {
+  if (groups_) groups_->at(groups_at_ = std::max(now, groups_at_), gateway_.pool());
   expire(now);
+  enforce_limits();
   while (!wakes_.empty() && *wakes_.begin() <= now) {
     wakes_.erase(wakes_.begin());
     events_.emplace_back(Wake{});
@@ -208,6 +236,39 @@
     settle(id, request, Ending::overdue, Time::zero(), out);
   }
   forget_ended();
+  tell_groups(now, out);
+}
+
+bool Host::may_refuse(const Request& request) const {
+  return settings_.classes[request.cls].effect == Effect::safe ||
+         std::ranges::all_of(request.attempts,
+                             [](const Attempt& a) { return a.ended && proves_unrun(a.result); });
+}
+
+// Requests that wait or run longer than their group lets them: the client hears at once, the module that it
+// has left.
+void Host::enforce_limits() {
+  if (!groups_) return;
+  for (const auto& [id, limit] : groups_->over()) {
+    auto& request = requests_.at(id);
+    if (request.state != RequestState::held && request.state != RequestState::out) continue;
+    const auto ending = may_refuse(request) ? Ending::refused : Ending::failed;
+    events_.emplace_back(ClientLeft{id});
+    settle(id, request, ending, comes_back(limit) ? settings_.max_retry_after : Time::zero(), early_, limit);
+    for (std::size_t n = 0; n < request.attempts.size(); ++n) stop_attempt(request, n, early_);
+  }
+}
+
+// Bounded in bytes: the more gateways there are, the rarer.
+void Host::tell_groups(Time now, std::vector<Command>& out) {
+  using namespace std::chrono_literals;
+  constexpr Time kPace = 200ms;
+  constexpr unsigned kOften = 10;  // gateways up to which each tells at that pace
+  constexpr std::size_t kMessages = 4;
+  if (!groups_ || !settings_.may_tell || settings_.gateways < 2) return;
+  if (now < groups_told_ + kPace * std::max(1U, settings_.gateways / kOften)) return;
+  groups_told_ = now;
+  for (auto& text : groups_->tell(kMessages)) out.emplace_back(TellPeers{std::nullopt, std::move(text)});
 }
 
 std::optional<Knew> Host::knew(const Request& request, EngineId engine) const {
@@ -221,10 +282,11 @@
   return knew;
 }
 
-void Host::settle(RequestId id, Request& request, Ending ending, Time pause, std::vector<Command>& out) {
+void Host::settle(RequestId id, Request& request, Ending ending, Time pause, std::vector<Command>& out,
+                  groups::Limit limit) {
   Answer answer{
-      request.ticket, ending,          pause, Result::moot, static_cast<unsigned>(request.attempts.size()),
-      true,           knew(request, 0)};
+      request.ticket, ending,           pause, Result::moot, static_cast<unsigned>(request.attempts.size()),
+      true,           knew(request, 0), limit};
   for (const auto& attempt : request.attempts) {
     answer.last = attempt.ended ? attempt.result : Result::timed_out;
     answer.proven_unrun = answer.proven_unrun && attempt.ended && proves_unrun(attempt.result);
@@ -335,6 +397,7 @@
   if (!wakes_.empty()) due = std::min(due, *wakes_.begin());
   if (!untils_.empty()) due = std::min(due, std::get<0>(*untils_.begin()));
   if (!deadlines_.empty()) due = std::min(due, deadlines_.begin()->first);
+  if (groups_) due = std::min(due, groups_->next_due());
   return due;
 }
 
--- a/src/router/host.hpp
+++ b/src/router/host.hpp
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -18,6 +19,7 @@
 #include <variant>
 #include <vector>
 
+#include "groups/shares.hpp"
 #include "heronwell/gateway.hpp"
 
 namespace heronwell::router {
@@ -29,6 +31,9 @@
 struct Ask {
   Ticket ticket = 0;
   Arrival asked;  // its request number is given by the host
+  // Where there are groups: the path of its group, and whether a template named it.
+  std::string group;
+  bool group_made = false;
 };
 
 struct AttemptEnd {
@@ -81,6 +86,7 @@
   unsigned attempts = 0;
   bool proven_unrun = true;  // no attempt can have run
   std::optional<Knew> knew;
+  groups::Limit limit = groups::Limit::none;  // of its group, that ended it
 };
 struct ProbeEngine {
   EngineId engine = 0;
@@ -123,7 +129,9 @@
 class Host {
  public:
   // Throws std::invalid_argument naming a senseless setting.
-  Host(Settings settings, std::uint64_t seed, RequestId first_number = 1);
+  // `groups`: whose turn it is among groups, and their limits; null: the module's queues alone.
+  Host(Settings settings, std::uint64_t seed, RequestId first_number = 1,
+       std::unique_ptr<groups::Shares> groups = nullptr);
 
   // ---- what happened; nothing is decided before run() -----------------------------------------------------
   void arrive(Time now, const Ask& ask);
@@ -147,6 +155,7 @@
   [[nodiscard]] const Counters& counters() const { return counters_; }
   [[nodiscard]] const Gateway& gateway() const { return gateway_; }
   [[nodiscard]] const Settings& settings() const { return settings_; }
+  [[nodiscard]] groups::Shares* groups() { return groups_.get(); }
 
  private:
   struct Attempt {
@@ -156,6 +165,7 @@
     Result result = Result::moot;
   };
   struct Request {
+    RequestId id = 0;
     Ticket ticket = 0;
     RequestState state = RequestState::held;
     ClassIndex cls = 0;
@@ -170,13 +180,19 @@
   void end_attempt(RequestId id, Request& request, std::size_t n, Outcome outcome);
   void stop_attempt(Request& request, std::size_t n, std::vector<Command>& out);
   void expire(Time now);
-  void settle(RequestId id, Request& request, Ending ending, Time pause, std::vector<Command>& out);
+  void settle(RequestId id, Request& request, Ending ending, Time pause, std::vector<Command>& out,
+              groups::Limit limit = groups::Limit::none);
+  // A group's limit may end a request as refused only where no attempt can have done harm.
+  [[nodiscard]] bool may_refuse(const Request& request) const;
+  void enforce_limits();
+  void tell_groups(Time now, std::vector<Command>& out);
   void carry_out(Time now, const Action& action, std::vector<Command>& out);
   void send(Time now, const Send& send, std::vector<Command>& out);
   void forget_ended();
   [[nodiscard]] std::optional<Knew> knew(const Request& request, EngineId engine) const;
 
   Settings settings_;
+  std::unique_ptr<groups::Shares> groups_;  // the module's Turns: outlives it
   Gateway gateway_;
   Numbers numbers_;
   std::unordered_map<RequestId, Request> requests_;  // open, or with an attempt the module may still name
@@ -189,6 +205,7 @@
   std::vector<Command> early_;  // what follows from an event by itself, carried out before the module's
   std::vector<RequestId> maybe_over_;
   std::size_t open_ = 0;
+  Time groups_at_{}, groups_told_{};
   bool explain_ = false;
   std::map<EngineId, unsigned> out_;  // threads out
   Counters counters_;
