--- a/src/rehearsal/demo.cpp
+++ b/src/rehearsal/demo.cpp
@@ -54,7 +54,7 @@
 std::string Demo::config(std::uint16_t port) const {
   std::string schema;
   put_json_text(schema, kMaps);
-  return fmt::format(R"(gateway: {{name: demo, zone: local}}
+  return fmt::format(R"yaml(gateway: {{name: demo, zone: local}}
 listen: {{port: {}}}
 list: {{consul: [{{port: {}}}]}}
 zones: [local]
@@ -77,7 +77,7 @@
     - {{class: report, group: reports.adhoc}}
   default: interactive
 log: {{requests: problems}}
-)",
+)yaml",
                      port, parts_->list->port(), schema);
 }
 
