--- a/src/groups/shares.cpp
+++ b/src/groups/shares.cpp
@@ -299,7 +299,8 @@
     ++node.queued;
     if (n == 0) break;
     if (node.queued == 1) {
-      node.turn_since = Time::zero();
+      // Soon after, it is the same wait: what it could not send was given up, and others came for it.
+      if (now_ > node.idle_since + kMostPass) node.turn_since = Time::zero();
       wake(n);
     }
     if (node.queued_by_class[c]++ == 0) {
--- a/tests/e2e/rig.hpp
+++ b/tests/e2e/rig.hpp
@@ -13,8 +13,10 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
+#include <deque>
 #include <filesystem>
 #include <fstream>
+#include <functional>
 #include <future>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -124,6 +126,8 @@
     unsigned of = 1;              // gateways
     std::string classes;          // YAML, in addition
     std::string engine_settings;  // YAML, within engines: {...}
+    // With several gateways in this process (`of` of them): what each has in addition.
+    std::function<std::string(unsigned)> settings_of;
   };
   explicit Rig(Options options) : options_(std::move(options)) {
     spdlog::set_level(spdlog::level::off);
@@ -143,10 +147,10 @@
       }
       list_->set(entries_);
     });
-    start_router();
+    for (unsigned n = 0; n < (options_.settings_of ? options_.of : 1); ++n) start_router(n);
   }
   ~Rig() {
-    stop_router();
+    for (unsigned n = 0; n < routers_.size(); ++n) stop_router(n);
     on_engines([&] {
       engines_.clear();
       list_.reset();
@@ -207,7 +211,7 @@
     }
     return true;
   }
-  [[nodiscard]] Client client(int receive_buffer = 0) const { return Client(port_, receive_buffer); }
+  [[nodiscard]] Client client(int receive_buffer = 0) const { return Client(port(), receive_buffer); }
   [[nodiscard]] double metric(const std::string& name) const {
     auto c = client();
     c.send("GET /metrics HTTP/1.1\r\nhost: a\r\n\r\n");
@@ -226,16 +230,18 @@
   }
   std::vector<fleet::Entry>& entries() { return entries_; }
   rehearsal::ListServer& list() { return *list_; }
-  [[nodiscard]] std::uint16_t port() const { return port_; }
+  [[nodiscard]] std::uint16_t port(unsigned router = 0) const { return routers_[router].port; }
 
   static std::string body(const std::string& cls, const std::string& id,
                           const std::string& cost = "work_ms=0", const std::string& more = "") {
     return fmt::format(R"({{"statement":"select x /*hw id={} {}*/","class":"{}"{}}})", id, cost, cls, more);
   }
 
-  void start_router() {
-    const auto yaml =
-        fmt::format(R"(gateway: {{name: gw, seed: 5, threads: {}, of: {}}}
+  void start_router(unsigned number = 0) {
+    if (routers_.size() <= number) routers_.resize(number + 1);
+    auto& router = routers_[number];
+    const auto yaml = fmt::format(
+        R"(gateway: {{name: gw{}, seed: 5, threads: {}, of: {}, number: {}}}
 listen: {{port: 0, header_time: 400ms, idle_time: 2s, stall_time: 1s}}
 list: {{consul: [{{port: {}}}], retry_least: 20ms}}
 kinds: {{small: {{cores: 4, memory: 4GiB}}}}
@@ -245,23 +251,26 @@
 {}loads: {{fields: [inflight, util], in_answers: true, tells_cost: true, progress_pace: {}}}
 engines: {{never_began: ["53300"], cancel_wait: 200ms{}}}
 {})",
-                    options_.threads, options_.of, list_->port(), options_.classes,
-                    yaml::duration_text(options_.progress), options_.engine_settings, options_.settings);
+        number == 0 ? "" : std::to_string(number), options_.threads, options_.of, number, list_->port(),
+        options_.classes, yaml::duration_text(options_.progress), options_.engine_settings,
+        options_.settings + (options_.settings_of ? options_.settings_of(number) : ""));
     try {
-      server_ = std::make_unique<daemon::Server>(daemon::read_config(yaml::Section::text(yaml, "rig")));
+      router.server = std::make_unique<daemon::Server>(daemon::read_config(yaml::Section::text(yaml, "rig")));
     } catch (const yaml::Error& error) {
       FAIL() << error.what();
     }
-    port_ = server_->port();
+    router.port = router.server->port();
     auto ready = std::make_shared<std::promise<void>>();
-    serving_ = std::thread([this, ready] { server_->run([ready] { ready->set_value(); }, 200ms); });
+    router.serving = std::thread(
+        [server = router.server.get(), ready] { server->run([ready] { ready->set_value(); }, 200ms); });
     ASSERT_EQ(ready->get_future().wait_for(5s), std::future_status::ready);
   }
-  void stop_router() {
-    if (!server_) return;
-    server_->stop(200ms);
-    serving_.join();
-    server_.reset();
+  void stop_router(unsigned number = 0) {
+    auto& router = routers_[number];
+    if (!router.server) return;
+    router.server->stop(200ms);
+    router.serving.join();
+    router.server.reset();
   }
   void start_engine(unsigned i, bool warm) {
     rehearsal::EngineOptions options;
@@ -282,14 +291,18 @@
   std::filesystem::path folder_;
   boost::asio::io_context context_{1};
   std::optional<boost::asio::executor_work_guard<boost::asio::io_context::executor_type>> guard_;
-  std::thread thread_, serving_;
+  std::thread thread_;
   std::unique_ptr<rehearsal::Recorder> list_recorder_;
   std::vector<std::unique_ptr<rehearsal::Recorder>> recorders_;
   std::vector<std::unique_ptr<rehearsal::Engine>> engines_;
   std::vector<fleet::Entry> entries_;
   std::unique_ptr<rehearsal::ListServer> list_;
-  std::unique_ptr<daemon::Server> server_;
-  std::uint16_t port_ = 0;
+  struct Router {
+    std::unique_ptr<daemon::Server> server;
+    std::thread serving;
+    std::uint16_t port = 0;
+  };
+  std::deque<Router> routers_;
 };
 
 }  // namespace heronwell::e2e
