Groups: a stalled gateway's patience does not run; half the cost in deep trees; a benchmark

Found by the stall test once engine time was charged exactly: after twenty seconds without a turn the group that was next counted as passed by, and another with twenty seconds' lead went first.

--- /dev/null
+++ b/benchmarks/groups_bench.cpp
@@ -0,0 +1,89 @@
+// What groups cost a request in the decision strand: let in, chosen, sent, ended, forgotten, in trees of 10
+// to 5,000 leaves, one and ten deep, with requests of few or of all groups waiting.
+#include <benchmark/benchmark.h>
+#include <fmt/format.h>
+
+#include "groups/selector.hpp"
+#include "groups/shares.hpp"
+
+namespace {
+
+using namespace heronwell;
+
+std::string tree_of(std::size_t leaves, std::size_t depth) {
+  std::string text = "groups: {";
+  for (std::size_t i = 1; i < depth; ++i) text += fmt::format("level{}: {{groups: {{", i);
+  for (std::size_t i = 0; i < leaves; ++i)
+    text += fmt::format("{}leaf{}: {{weight: {}}}", i > 0 ? ", " : "", i, 1 + i % 5);
+  for (std::size_t i = 1; i < depth; ++i) text += "}}";
+  return text + "}";
+}
+
+// Arguments: leaves, depth, groups whose requests wait.
+void request(benchmark::State& state) {
+  const auto leaves = static_cast<std::size_t>(state.range(0)),
+             depth = static_cast<std::size_t>(state.range(1)),
+             waiting = static_cast<std::size_t>(state.range(2));
+  auto section = yaml::Section::text(tree_of(leaves, depth), "tree");
+  groups::Shares shares(groups::Tree::read(section), {{1, false}, {4, false}}, {});
+  std::string above;
+  for (std::size_t i = 1; i < depth; ++i) above += fmt::format("level{}.", i);
+  std::vector<std::string> paths;
+  for (std::size_t i = 0; i < waiting; ++i)
+    paths.push_back(fmt::format("{}leaf{}", above, i * (leaves / waiting)));
+  Time now{1};
+  RequestId ids = 0;
+  std::size_t next = 0;
+  std::map<RequestId, std::size_t> out;
+  shares.at(now, 64);
+  for (std::size_t i = 0; i < 2 * waiting; ++i)
+    (void)shares.enter(++ids, paths[i % waiting], false, {0, 0, {}});
+  std::vector<RequestId> running(32);
+  for (auto _ : state) {
+    now += std::chrono::microseconds(20);
+    shares.at(now, 64);
+    (void)shares.enter(++ids, paths[next++ % waiting], false, {0, 0, {}});
+    const auto& turn = shares.in_turn(0);
+    if (turn.empty()) {
+      state.SkipWithError("nobody in turn");
+      break;
+    }
+    const auto id = turn.front();
+    shares.sent(id);
+    auto& slot = running[ids % running.size()];
+    if (slot != 0) {
+      shares.ended(slot, 0, true);
+      shares.settled(slot);
+    }
+    slot = id;
+  }
+}
+BENCHMARK(request)
+    ->Args({10, 1, 10})
+    ->Args({500, 1, 10})
+    ->Args({5000, 1, 10})
+    ->Args({500, 1, 500})
+    ->Args({5000, 1, 5000})
+    ->Args({10, 10, 10})
+    ->Args({500, 10, 10})
+    ->Args({5000, 10, 10})
+    ->Args({5000, 10, 5000});
+
+// Choosing a group: 1 rule, and the last of 50 with patterns.
+void choose(benchmark::State& state) {
+  std::string text = "selectors:\n";
+  for (int i = 1; i < state.range(0); ++i)
+    text += fmt::format("  - {{header: {{x-team: {{pattern: \"team{}-.*\"}}}}, group: g{}}}\n", i, i);
+  text += "  - {class: lookup, group: g}\n";
+  auto section = yaml::Section::text(text, "selectors");
+  const auto selectors = groups::Selectors::read(section);
+  groups::Described asked;
+  asked.cls = "lookup";
+  asked.header = [](std::string_view) { return std::optional<std::string>("other-thing"); };
+  for (auto _ : state) benchmark::DoNotOptimize(selectors.choose(asked));
+}
+BENCHMARK(choose)->Arg(1)->Arg(50);
+
+}  // namespace
+
+BENCHMARK_MAIN();
--- a/src/groups/shares.cpp
+++ b/src/groups/shares.cpp
@@ -12,12 +12,14 @@
 namespace {
 
 using namespace std::chrono_literals;
-constexpr Time kTick = 50ms;          // between looks at what runs longer than it was charged for
-constexpr Time kMostPass = 8s;        // of the times for which a group that finds no engine is passed by
-constexpr std::size_t kMarked = 16;   // groups whose patience runs at once, on one level
-constexpr std::size_t kLeaves = 2;    // whose first requests are offered at once,
-constexpr std::size_t kByKey = 8;     // and so many of one leaf where the order by key may hold some
-constexpr double kRecent = 10;        // s, of the engine time that is told as lately used
+constexpr Time kTick = 50ms;         // between looks at what runs longer than it was charged for
+constexpr Time kAbsence = 200ms;     // without a call for so long, this gateway was itself away
+constexpr Time kMostPass = 8s;       // of the times for which a group that finds no engine is passed by
+constexpr std::size_t kMarked = 16;  // groups whose patience runs at once, on one level
+constexpr std::size_t kLeaves = 2;   // whose first requests are offered at once,
+constexpr std::size_t kByKey = 8;    // and so many of one leaf where the order by key may hold some
+constexpr double kRecent = 10;       // s, of the engine time that is told as lately used
+constexpr Time kRecentStep = 10ms;
 constexpr double kStep = 0.05;        // weight of one end in a class's mean engine time
 constexpr double kFirstCharge = 0.1;  // s, of a class's queries before any has ended
 constexpr double kMostSize = 40;      // of a query by its estimate, in its class's mean
@@ -165,6 +167,7 @@
 }
 
 // ---- engine time -----------------------------------------------------------------------------------------
+// Threads of this gateway and of those that tell, taken to be alike.
 double Shares::fleet_pool() const {
   const auto alive = std::ranges::count_if(
       told_by_, [this](const auto& one) { return now_ <= one.second.last + kToldLife; });
@@ -175,7 +178,7 @@
   std::array<Number, Tree::kDeepest + 1> way{};
   std::size_t depth = 0;
   for (auto n = parent; n != 0; n = nodes_[n].parent) way[depth++] = n;
-  double share = fleet_pool();
+  double share = fleet_pool_;
   auto above = &nodes_[0];
   while (depth-- > 0) {
     const auto& node = nodes_[way[depth]];
@@ -186,26 +189,39 @@
 }
 
 void Shares::add_recent(Node& node, double amount) const {
-  if (now_ > node.recent_at) node.recent *= std::exp(-secs(now_ - node.recent_at) / kRecent);
-  node.recent_at = now_;
+  if (now_ > node.recent_at + kRecentStep) {
+    node.recent *= std::exp(-secs(now_ - node.recent_at) / kRecent);
+    node.recent_at = now_;
+  }
   node.recent = std::max(0.0, node.recent + amount);
 }
 
 void Shares::charge(Number leaf, double amount, bool here) {
   if (amount == 0) return;
-  for (auto n = leaf;; n = nodes_[n].parent) {
-    auto& node = nodes_[n];
+  std::array<Number, Tree::kDeepest + 2> way{};
+  std::size_t depth = 0;
+  for (auto n = leaf; n != 0; n = nodes_[n].parent) way[depth++] = n;
+  auto* above = &nodes_[0];
+  double share = fleet_pool_;
+  const auto add = [&](Node& node) {
     (here ? node.used : node.heard) += amount;
     add_recent(node, amount);
-    if (n == 0) break;
-    const auto& above = nodes_[node.parent];
+  };
+  add(*above);
+  while (depth-- > 0) {
+    auto& node = nodes_[way[depth]];
+    add(node);
+    // A second, v of these siblings grows by this much; a node that has no request now as if it had.
+    const double rate = share / std::max(above->active_weight, node.set.weight);
     node.v += amount / node.set.weight;
-    const double ahead = (node.v - above.floor);
-    if (ahead > 0 && above.set.policy == Policy::fair)
-      node.v = above.floor + std::min(ahead, secs(settings_.debt) * rate(node.parent));
-    rekey(n);
+    if (above->set.policy == Policy::fair)
+      node.v = std::min(
+          node.v, std::max(above->floor + secs(settings_.debt) * rate, node.v - amount / node.set.weight));
+    rekey(way[depth]);
+    share = rate * node.set.weight;
+    above = &node;
   }
-  if (here && untold_.insert({nodes_[leaf].told_at, leaf}).second) return;
+  if (here) untold_.insert({nodes_[leaf].told_at, leaf});
 }
 
 // What a query is charged when it is sent: the mean of its class, by its estimate against the mean of those.
@@ -217,7 +233,7 @@
 
 void Shares::learn(const Query& query, double used) {
   auto& mean = mean_[query.cls];
-  mean += (mean > 0 ? kStep : 1) * (used - mean);
+  mean += mean > 0 ? kStep * (std::min(used, kMostSize * mean) - mean) : used;
   if (!query.work || *query.work <= Time::zero()) return;
   auto& estimate = mean_estimate_[query.cls];
   const double told = secs(*query.work);
@@ -244,24 +260,22 @@
   return {node.running >= node.set.min_threads / settings_.gateways, order, n};
 }
 
-void Shares::insert_keys(Number n) {
-  const auto& node = nodes_[n];
-  for (std::size_t c = 0; c < classes_.size(); ++c)
-    if (node.queued_by_class[c] > 0) nodes_[node.parent].waiting[c].insert(node.key);
-}
-void Shares::erase_keys(Number n) {
-  const auto& node = nodes_[n];
-  for (std::size_t c = 0; c < classes_.size(); ++c)
-    if (node.queued_by_class[c] > 0) nodes_[node.parent].waiting[c].erase(node.key);
-}
 void Shares::rekey(Number n) {
   if (n == 0) return;
   auto& node = nodes_[n];
   const auto key = key_of(n);
   if (key == node.key) return;
-  if (node.queued > 0) erase_keys(n);
+  if (node.queued > 0) {
+    for (std::size_t c = 0; c < classes_.size(); ++c) {
+      if (node.queued_by_class[c] == 0) continue;
+      auto& waiting = nodes_[node.parent].waiting[c];
+      auto held = waiting.extract(node.key);  // without giving its memory back
+      if (held.empty()) continue;             // about to be inserted
+      held.value() = key;
+      waiting.insert(std::move(held));
+    }
+  }
   node.key = key;
-  if (node.queued > 0) insert_keys(n);
 }
 
 // A group that begins to wait: what it is owed or owes has faded meanwhile, and is bounded.
@@ -328,8 +342,13 @@
 
 // ---- told by the host ------------------------------------------------------------------------------------
 void Shares::at(Time now, double pool) {
+  // After a time without a turn nobody's patience has run: nothing was offered meanwhile.
+  if (now > now_ + kAbsence && now_ > Time::zero())
+    for (auto& node : nodes_)
+      if (node.turn_since > Time::zero()) node.turn_since += now - now_;
   now_ = now;
   pool_ = pool;
+  fleet_pool_ = told_by_.empty() ? std::max(1.0, pool) : fleet_pool();
   if (begun_ == 0) begun_ = static_cast<std::uint64_t>(now.count()) | 1;
   if (now_ >= ticked_ + kTick) tick();
 }
@@ -573,7 +592,7 @@
 
 const std::vector<RequestId>& Shares::in_turn(ClassIndex cls) {
   found_.clear();
-  if (cls < classes_.size()) walk(0, cls, fleet_pool());
+  if (cls < classes_.size()) walk(0, cls, fleet_pool_);
   return found_;
 }
 
--- a/src/groups/shares.hpp
+++ b/src/groups/shares.hpp
@@ -179,8 +179,6 @@
   Limit room(Number leaf, const Query& query) const;
   void queue_up(RequestId id, Held& held);
   void unqueue(RequestId id, Held& held);
-  void insert_keys(Number n);
-  void erase_keys(Number n);
   Key key_of(Number n) const;
   double oldest(Number n) const;
   void rekey(Number n);
@@ -227,7 +225,7 @@
   unsigned widest_ = 1;      // threads of a query
   std::size_t made_ = 0;
   Time now_{}, ticked_{};
-  double pool_ = 1;
+  double pool_ = 1, fleet_pool_ = 1;
 };
 
 }  // namespace heronwell::groups
