--- a/src/groups/shares.cpp
+++ b/src/groups/shares.cpp
@@ -15,6 +15,8 @@
 constexpr Time kTick = 50ms;         // between looks at what runs longer than it was charged for
 constexpr Time kAbsence = 200ms;     // without a call for so long, this gateway was itself away
 constexpr Time kMostPass = 8s;       // of the times for which a group that finds no engine is passed by
+constexpr unsigned kNotTaken = 4;    // times its threads that became free for a query, and
+constexpr Time kOffered = 20ms;      // so long after, a tick of the module's, it was sent nowhere
 constexpr std::size_t kMarked = 16;  // groups whose patience runs at once, on one level
 constexpr std::size_t kLeaves = 2;   // whose first requests are offered at once,
 constexpr std::size_t kByKey = 8;    // and so many of one leaf where the order by key may hold some
@@ -314,7 +316,7 @@
     if (n == 0) break;
     if (node.queued == 1) {
       // Soon after, it is the same wait: what it could not send was given up, and others came for it.
-      if (now_ > node.idle_since + kMostPass) node.turn_since = Time::zero();
+      if (now_ > node.idle_since + kMostPass) node.turn = {};
       wake(n);
     }
     if (node.queued_by_class[c]++ == 0) {
@@ -345,7 +347,7 @@
   // After a time without a turn nobody's patience has run: nothing was offered meanwhile.
   if (now > now_ + kAbsence && now_ > Time::zero())
     for (auto& node : nodes_)
-      if (node.turn_since > Time::zero()) node.turn_since += now - now_;
+      if (node.turn.hold_since > Time::zero()) node.turn.hold_since += now - now_;
   now_ = now;
   pool_ = pool;
   fleet_pool_ = told_by_.empty() ? std::max(1.0, pool) : fleet_pool();
@@ -418,7 +420,7 @@
     auto& node = nodes_[n];
     node.running += threads;
     node.memory += held.query.memory_mb;
-    if (waited) node.turn_since = Time::zero();
+    if (waited) node.turn = {};
     if (n == 0) break;
     if (waited && node.set.query_time) held.run_until = std::min(held.run_until, now_ + *node.set.query_time);
   }
@@ -512,23 +514,33 @@
 }
 
 void Shares::begin_turn(Node& node) const {
-  if (node.turn_since != Time::zero()) return;
-  node.turn_since = now_;
-  node.turn_freed = freed_;
-}
-
-// Only what threads became free for and did not take: while all are busy nobody is passed by.
-bool Shares::passed_by(const Node& node) const {
-  if (node.turn_since == Time::zero()) return false;
-  if (nodes_[0].running > 0 && freed_ < node.turn_freed + 2 * widest_) return false;
-  auto since = now_ - node.turn_since;
-  const auto hold = settings_.patience;
-  for (auto pass = std::max(hold, Time(1ms)); since >= hold; pass = std::min(2 * pass, kMostPass)) {
-    if (since < hold + pass) return true;
-    since -= hold + pass;
-    if (pass == kMostPass) since %= hold + pass;
-  }
-  return false;
+  if (node.turn.hold_since != Time::zero()) return;
+  node.turn.hold_since = now_;
+  node.turn.hold_freed = freed_;
+}
+
+// A group that did not take what it was held free for (so many times the threads of its narrowest query; or,
+// with threads to spare, anything within the patience) waits for something else: an engine of its kind, its
+// key's turn. Then it holds nobody back for a while, and for twice as long the next time.
+bool Shares::passed_by(Node& node) const {
+  auto& turn = node.turn;
+  if (turn.hold_since == Time::zero()) return false;
+  if (now_ < turn.go_until) return true;
+  if (turn.go_until > turn.hold_since) {  // the time to go is over: it holds again
+    turn.hold_since = now_;
+    turn.hold_freed = freed_;
+    turn.enough = {};
+  }
+  unsigned narrowest = widest_;
+  for (std::size_t c = 0; c < classes_.size(); ++c)
+    if (node.queued_by_class[c] > 0) narrowest = std::min(narrowest, classes_[c].threads);
+  if (turn.enough == Time::zero() && freed_ >= turn.hold_freed + kNotTaken * narrowest) turn.enough = now_;
+  const bool not_taken = turn.enough > Time::zero() && now_ >= turn.enough + kOffered;
+  const bool spare = nodes_[0].running + narrowest <= pool_ || nodes_[0].running == 0;
+  if (!not_taken && !(spare && now_ >= turn.hold_since + settings_.patience)) return false;
+  turn.go = std::min(std::max(2 * turn.go, std::max(settings_.patience, Time(1ms))), kMostPass);
+  turn.go_until = now_ + turn.go;
+  return true;
 }
 
 std::optional<Shares::Key> Shares::front(Number n) {
@@ -579,14 +591,10 @@
                           : policy == Policy::fair   ? first->order + secs(settings_.slack) * rate
                           : policy == Policy::strict ? first->order
                                                      : std::numeric_limits<double>::infinity();
-  for (const bool passed : {false, true}) {
-    for (const auto& key : node.waiting[cls]) {
-      if (found_.size() >= kLeaves) return;
-      if (first && key.after_minima && (!first->after_minima || key.order > furthest)) break;
-      const auto& child = nodes_[key.node];
-      if (passed_by(child) != passed || at_ceiling(key.node, cls)) continue;
-      step(key.node, cls, rate * child.set.weight);
-    }
+  for (const auto& key : node.waiting[cls]) {
+    if (found_.size() >= (classes_[cls].in_order ? kByKey * kByKey : kLeaves)) return;
+    if (first && key.after_minima && (!first->after_minima || key.order > furthest)) break;
+    if (!at_ceiling(key.node, cls)) step(key.node, cls, rate * nodes_[key.node].set.weight);
   }
 }
 
--- a/src/groups/shares.hpp
+++ b/src/groups/shares.hpp
@@ -25,8 +25,9 @@
 struct ShareSettings {
   // A group may be ahead of one that waits by so much of the engines' time: room for short classes.
   Time slack{std::chrono::milliseconds(200)};
-  // The group whose turn it is holds others back so long while its query finds no engine; then they go for as
-  // long, for twice as long after the next time, and so on.
+  // The group whose turn it is holds others back while threads become free for its query, or for so long
+  // while there are threads to spare. If it takes none, others go for as long, for twice as long the next
+  // time, and so on.
   Time patience{std::chrono::milliseconds(250)};
   Time credit{std::chrono::milliseconds(500)};  // at most, of a group that comes back: engines' time unused
   Time debt{std::chrono::seconds(30)};          // at most, of a group that is ahead
@@ -139,8 +140,12 @@
     double active_weight = 0;  // of children with requests
     double used = 0, heard = 0, recent = 0;  // thread-seconds: here, told by others, faded sum of both
     Key key;
-    Time turn_since{}, idle_since{};  // zero: not first in turn
-    std::uint64_t turn_freed = 0;     // threads that had become free by then
+    struct Turn {
+      Time hold_since{}, go_until{}, go{};  // zero: not first in turn; others go until; for so long
+      Time enough{};                        // since when so much had become free
+      std::uint64_t hold_freed = 0;         // threads that had become free when it began to hold
+    } turn;
+    Time idle_since{};
     Time recent_at{}, marked{}, made_since{};
     std::size_t position = 0;  // among its parent's children
     std::uint64_t told_at = 0;
@@ -187,7 +192,7 @@
   [[nodiscard]] double rate(Number parent) const;  // at which v of its children grows, a second
   [[nodiscard]] double limit(Number n) const;      // threads here
   [[nodiscard]] bool at_ceiling(Number n, ClassIndex cls) const;
-  [[nodiscard]] bool passed_by(const Node& node) const;
+  [[nodiscard]] bool passed_by(Node& node) const;
   std::optional<Key> front(Number n);
   void walk(Number n, ClassIndex cls, double share);
   void step(Number n, ClassIndex cls, double share);
