--- a/benchmarks/graphql_http_bench.cpp
+++ b/benchmarks/graphql_http_bench.cpp
@@ -22,9 +22,12 @@
 struct Variant {
   const char* name;
   bool graphql;
-  const char* trace;  // YAML; empty: off
+  const char* trace;               // YAML; empty: off
+  unsigned groups = 0, depth = 1;  // leaves of the tree of resource groups; 0: none
 };
-constexpr std::array<Variant, 6> kVariants{{{"/v1/query", false, ""},
+constexpr std::array<Variant, 8> kVariants{{{"/v1/query", false, ""},
+                                            {"/v1/query, 10 groups", false, "", 10},
+                                            {"/v1/query, 5,000 groups, ten deep", false, "", 5000, 10},
                                             {"GraphQL", true, ""},
                                             {"GraphQL, traced 0%", true, "sample: 0, keep_trouble: false"},
                                             {"GraphQL, traced 0%, trouble kept", true, "sample: 0"},
@@ -42,6 +45,20 @@
   return out;
 }
 
+std::string groups_of(const Variant& v) {
+  if (v.groups == 0) return "";
+  std::string text = "groups: {", path;
+  for (unsigned i = 1; i < v.depth; ++i) {
+    text += fmt::format("groups: {{level{}: {{", i);
+    path += fmt::format("level{}.", i);
+  }
+  text += "groups: {";
+  for (unsigned i = 0; i < v.groups; ++i) text += fmt::format("{}leaf{}: {{}}", i > 0 ? ", " : "", i);
+  text += "}";
+  for (unsigned i = 1; i < v.depth; ++i) text += "}}";
+  return text + fmt::format(", default: {}leaf7}}\n", path);
+}
+
 double median(std::vector<double> all) {
   std::ranges::sort(all);
   return all[all.size() / 2];
@@ -84,8 +101,8 @@
         "{{aim: 500ms, "
         "give_up: 5s}}}}\nengines: {{connections: 200}}\nlog: {{requests: none, level: \"off\"}}\n"
         "graphql: {{sdl: 'type Query {{one(id: ID!): Int @sql(statement: \"select 1, :id\", class: "
-        "\"lookup\")}}'}}\n{}",
-        folder.string(),
+        "\"lookup\")}}'}}\n{}{}",
+        folder.string(), groups_of(kVariants[i]),
         trace.empty() ? ""
                       : fmt::format("trace: {{file: {}/trace-{}.jsonl, {}}}\n", folder.string(), i, trace));
     all[i].server = std::make_unique<daemon::Server>(daemon::read_config(yaml::Section::text(yaml, "bench")));
