Groups told to people in pieces: a tree of 5,000 no longer holds up decisions

The benchmark over HTTP showed p99 8.3 ms with 5,000 groups, against 0.24 without: twice a second the whole tree was put into JSON and metrics on the decision strand. Now 64 groups in one go, every 5 ms; metrics tell 200 groups at most.

--- a/src/daemon/decisions.cpp
+++ b/src/daemon/decisions.cpp
@@ -11,7 +11,9 @@
 namespace {
 
 using namespace std::chrono_literals;
-constexpr auto kMeasure = 500ms;  // between updates of gauges
+constexpr auto kMeasure = 500ms;      // between updates of gauges
+constexpr std::size_t kScanned = 64;  // groups looked at in one go, for people,
+constexpr auto kScanStep = 5ms;       // and the time between two goes
 
 Time unix_offset() {
   return std::chrono::duration_cast<Time>(std::chrono::system_clock::now().time_since_epoch()) - steady_now();
@@ -44,7 +46,8 @@
              [this](Listed listed) {
                inbox_.put(Told{steady_now(), std::move(listed)});
              }),
-      groups_watch_(context.get_executor()) {
+      groups_watch_(context.get_executor()),
+      groups_scan_(context.get_executor()) {
   if (config.groups) schedules_ = config.groups->schedules;
   if (config.groups) groups_text_ = text_of(config.groups->file);
 }
@@ -57,6 +60,7 @@
   lists_.start();
   run();
   measure();
+  if (config_.groups) scan_groups();
   if (config_.groups && !config_.groups->file.empty()) watch_groups();
 }
 
@@ -66,6 +70,7 @@
   timer_.cancel();
   measuring_.cancel();
   groups_watch_.cancel();
+  groups_scan_.cancel();
   boost::system::error_code ignored;
   if (peers_) peers_->close(ignored);
 }
@@ -168,7 +173,7 @@
     metrics_.classes[c].budget->Set(view.budget);
   }
   metrics_.pool->Set(host_.gateway().pool());
-  if (host_.groups() != nullptr) measure_groups();
+  if (host_.groups() != nullptr) apply_schedules();
   metrics_.decision_lag->Set(std::chrono::duration<double>(std::exchange(lag_, Time::zero())).count());
   measuring_.expires_after(kMeasure);
   measuring_.async_wait([this](boost::system::error_code error) {
@@ -177,39 +182,52 @@
 }
 
 // ---- groups ----------------------------------------------------------------------------------------------
-void Decisions::measure_groups() {
+void Decisions::apply_schedules() {
   auto& shares = *host_.groups();
   const auto unix = steady_now() + unix_offset();
   shares.at(steady_now(), host_.gateway().pool());
   shares.adjust(schedules_->at(unix));
   auto in_force = schedules_->in_force(unix);
-  if (in_force != schedules_in_force_) {
-    metrics_.groups_schedules->Increment();
-    spdlog::info(R"({{"event":"group_schedule","gateway":{},"in_force":{}}})", quoted(config_.name),
-                 quoted(fmt::format("{}", fmt::join(in_force, ", "))));
-    schedules_in_force_ = std::move(in_force);
+  if (in_force == schedules_in_force_) return;
+  metrics_.groups_schedules->Increment();
+  spdlog::info(R"({{"event":"group_schedule","gateway":{},"in_force":{}}})", quoted(config_.name),
+               quoted(fmt::format("{}", fmt::join(in_force, ", "))));
+  schedules_in_force_ = std::move(in_force);
+}
+
+// What people see of the groups, made in pieces, so that a large tree holds up no decision.
+void Decisions::scan_groups() {
+  std::vector<groups::GroupView> some;
+  if (groups_next_ == 0) {
+    groups_json_ = fmt::format(R"({{"gateway":{},"pool_threads":{:.1f},"schedules":[)", quoted(config_.name),
+                               host_.gateway().pool());
+    for (std::size_t i = 0; i < schedules_in_force_.size(); ++i)
+      groups_json_ += (i > 0 ? "," : "") + quoted(schedules_in_force_[i]);
+    groups_json_ += "],\"groups\":[";
+    metrics_.begin_groups();
   }
-  const auto groups = shares.view();
-  metrics_.measure_groups(groups);
-  std::string json = fmt::format(R"({{"gateway":{},"pool_threads":{:.1f},"schedules":[)",
-                                 quoted(config_.name), host_.gateway().pool());
-  for (std::size_t i = 0; i < schedules_in_force_.size(); ++i)
-    json += (i > 0 ? "," : "") + quoted(schedules_in_force_[i]);
-  json += "],\"groups\":[";
-  for (std::size_t i = 0; i < groups.size(); ++i) {
-    const auto& g = groups[i];
-    json += fmt::format(
+  const bool more = host_.groups()->view_some(groups_next_, kScanned, some);
+  for (const auto& g : some) {
+    groups_json_ += fmt::format(
         R"({}{{"path":{},"depth":{},"made":{},"weight":{:.4g},"share_set":{:.4f},"share_got":{:.4f},"lent":{:.4f},"engine_seconds":{:.3f},"queued":{},"running_threads":{},"refused":{{)",
-        i > 0 ? "," : "", quoted(g.path), g.depth, g.made, g.weight, g.share_set, g.share_got, g.lent,
+        g.depth > 0 ? "," : "", quoted(g.path), g.depth, g.made, g.weight, g.share_set, g.share_got, g.lent,
         g.used_s, g.queued, g.running);
     bool first = true;
     for (const auto& [limit, count] : g.refused) {
-      json += fmt::format(R"({}"{}":{})", first ? "" : ",", limit, count);
+      groups_json_ += fmt::format(R"({}"{}":{})", first ? "" : ",", limit, count);
       first = false;
     }
-    json += "}}";
+    groups_json_ += "}}";
+    metrics_.count_group(g);
   }
-  metrics_.groups(json + "]}");
+  if (!more) {
+    groups_next_ = 0;
+    metrics_.end_groups(groups_json_ + "]}");
+  }
+  groups_scan_.expires_after(more ? kScanStep : kMeasure);
+  groups_scan_.async_wait([this](boost::system::error_code error) {
+    if (!error && !stopped_) scan_groups();
+  });
 }
 
 // A file half written, or wrong, changes nothing: it is read again when it has changed.
@@ -238,7 +256,8 @@
     for (auto& orders : orders_) orders.emplace_back(selectors);
     metrics_.groups_reloaded->Increment();
     spdlog::info(R"({{"event":"groups_reloaded","gateway":{},"requests":{}}})", quoted(config_.name), before);
-    measure_groups();
+    groups_next_ = 0;  // the scan's place is void
+    apply_schedules();
     run();
   } catch (const yaml::Error& error) {
     metrics_.groups_refused_reload->Increment();
--- a/src/daemon/decisions.hpp
+++ b/src/daemon/decisions.hpp
@@ -32,7 +32,8 @@
   void carry_out(router::Command& command);
   void list(const Listed& listed);
   void measure();
-  void measure_groups();
+  void apply_schedules();
+  void scan_groups();
   void watch_groups();
   void reload_groups(const std::string& text);
   void open_peers();
@@ -55,7 +56,9 @@
   Time lag_{};
   std::vector<std::string> schedules_in_force_;
   std::string groups_text_;  // of the groups' file, as last read
-  Timer groups_watch_;
+  Timer groups_watch_, groups_scan_;
+  groups::Shares::Number groups_next_ = 0;  // of the scan
+  std::string groups_json_;                 // of the scan, as far as it has come
   std::optional<groups::Schedules> schedules_;
   bool stopped_ = false;
 
--- a/src/daemon/metrics.cpp
+++ b/src/daemon/metrics.cpp
@@ -78,27 +78,25 @@
       gauge("heronwell_decision_lag_seconds", "Longest wait of an event for the decision strand of late");
 }
 
-void Metrics::measure_groups(const std::vector<groups::GroupView>& groups) {
+void Metrics::begin_groups() { sums_.clear(); }
+
+void Metrics::count_group(const groups::GroupView& group) {
+  const auto dot = group.path.rfind('.');
+  const auto above = dot == std::string::npos ? std::string() : group.path.substr(0, dot + 1);
+  const auto name = group.made ? above + "*" : group.path;
+  if (!sums_.contains(name) && sums_.size() >= kMostGroups) return;
+  auto& sum = sums_[name];
+  sum.queued += static_cast<double>(group.queued);
+  sum.running += group.running;
+  sum.set += group.share_set;
+  sum.got += group.share_got;
+  sum.used += group.used_s;
+  for (const auto& [limit, count] : group.refused) sum.refused[limit] += count;
+}
+
+void Metrics::end_groups(std::string json) {
   using prometheus::BuildCounter;
   using prometheus::BuildGauge;
-  struct Sum {
-    double queued = 0, running = 0, set = 0, got = 0, used = 0;
-    std::map<std::string, std::uint64_t> refused;
-  };
-  std::map<std::string, Sum> sums;
-  for (const auto& group : groups) {
-    const auto dot = group.path.rfind('.');
-    const auto above = dot == std::string::npos ? std::string() : group.path.substr(0, dot + 1);
-    const auto name = group.made ? above + "*" : group.path;
-    if (!sums.contains(name) && sums.size() >= kMostGroups) continue;
-    auto& sum = sums[name];
-    sum.queued += static_cast<double>(group.queued);
-    sum.running += group.running;
-    sum.set += group.share_set;
-    sum.got += group.share_got;
-    sum.used += group.used_s;
-    for (const auto& [limit, count] : group.refused) sum.refused[limit] += count;
-  }
   auto& queued = BuildGauge().Name("heronwell_group_queued").Help("Requests held").Register(registry_);
   auto& running =
       BuildGauge().Name("heronwell_group_running_threads").Help("Threads out").Register(registry_);
@@ -117,8 +115,8 @@
     counter.Increment(std::max(0.0, to - counter.Value()));
   };
   for (auto& [name, group] : groups_)
-    if (!sums.contains(name)) sums[name] = {};  // removed: its gauges fall to nothing
-  for (const auto& [name, sum] : sums) {
+    if (!sums_.contains(name)) sums_[name] = {};  // removed: its gauges fall to nothing
+  for (const auto& [name, sum] : sums_) {
     const prometheus::Labels labels{{"group", name.empty() ? "root" : name}};
     auto& group = groups_
                       .try_emplace(name, PerGroup{&queued.Add(labels),
@@ -139,12 +137,10 @@
       raise(*counter, static_cast<double>(count));
     }
   }
-}
-
-void Metrics::groups(std::string json) {
   const std::lock_guard lock(mutex_);
   groups_json_ = std::move(json);
 }
+
 std::string Metrics::groups() const {
   const std::lock_guard lock(mutex_);
   return groups_json_;
--- a/src/daemon/metrics.hpp
+++ b/src/daemon/metrics.hpp
@@ -35,22 +35,28 @@
   prometheus::Gauge *graphql_open, *open, *pool, *clients, *engine_connections, *engines_ready, *decision_lag;
 
   // Figures of the groups that are written down; those made on demand are summed under their parent's "*".
-  static constexpr std::size_t kMostGroups = 500;  // further ones are left out of the metrics
-  void measure_groups(const std::vector<groups::GroupView>& groups);
-  // The groups as JSON, for `heronwell groups`; from any thread.
-  void groups(std::string json);
+  static constexpr std::size_t kMostGroups = 200;  // further ones are left out of the metrics
+  void begin_groups();
+  void count_group(const groups::GroupView& group);
+  void end_groups(std::string json);
+  // All groups as JSON, for `heronwell groups`; from any thread.
   [[nodiscard]] std::string groups() const;
   prometheus::Counter *groups_reloaded, *groups_refused_reload, *groups_schedules;
 
   [[nodiscard]] std::string text() const;
 
  private:
+  struct GroupSum {
+    double queued = 0, running = 0, set = 0, got = 0, used = 0;
+    std::map<std::string, std::uint64_t> refused;
+  };
   struct PerGroup {
     prometheus::Gauge *queued, *running, *share_set, *share_got;
     prometheus::Counter* used;
     std::map<std::string, prometheus::Counter*> refused;
   };
   prometheus::Registry registry_;
+  std::map<std::string, GroupSum> sums_;  // of the scan
   std::map<std::string, PerGroup> groups_;
   mutable std::mutex mutex_;
   std::string groups_json_;
--- a/src/groups/shares.cpp
+++ b/src/groups/shares.cpp
@@ -92,6 +92,7 @@
   node.position = above.children.size();
   node.v = above.floor;
   above.children.push_back(n);
+  above.child_weight += node.set.weight;
   by_path_[node.set.path] = n;
   by_hash_.emplace(hash_of(node.set.path), n);
   node.key = key_of(n);
@@ -145,6 +146,7 @@
 
 void Shares::remove(Number n) {
   auto& node = nodes_[n];
+  nodes_[node.parent].child_weight -= node.set.weight;
   auto& siblings = nodes_[node.parent].children;
   siblings.erase(siblings.begin() + static_cast<std::ptrdiff_t>(node.position));
   for (auto i = node.position; i < siblings.size(); ++i) {
@@ -609,6 +611,7 @@
   if (overrides == overrides_) return;
   const auto set = [this](Number n, double weight, double least, double most) {
     auto& node = nodes_[n];
+    nodes_[node.parent].child_weight += weight - node.set.weight;
     if (node.requests > 0) nodes_[node.parent].active_weight += weight - node.set.weight;
     node.set.weight = weight;
     node.set.min_threads = least;
@@ -770,14 +773,25 @@
 }
 
 // ---- for people ------------------------------------------------------------------------------------------
-std::vector<GroupView> Shares::view() const {
-  std::vector<GroupView> all;
+std::optional<Shares::Number> Shares::after(Number n) const {
+  if (!nodes_[n].children.empty()) return nodes_[n].children.front();
+  for (; n != 0; n = nodes_[n].parent) {
+    const auto& siblings = nodes_[nodes_[n].parent].children;
+    if (nodes_[n].position + 1 < siblings.size()) return siblings[nodes_[n].position + 1];
+  }
+  return std::nullopt;
+}
+
+bool Shares::view_some(Number& next, std::size_t most, std::vector<GroupView>& out) const {
   const auto recent = [this](const Node& node) {
     return node.recent * std::exp(-secs(now_ - node.recent_at) / kRecent);
   };
   const double whole = std::max(1e-9, recent(nodes_[0]));
-  const auto add = [&](auto& self, Number n, double share) -> void {
-    const auto& node = nodes_[n];
+  for (std::optional<Number> n = next; n; n = after(*n)) {
+    next = *n;
+    if (*n >= nodes_.size() || !nodes_[*n].live) return false;
+    if (most-- == 0) return true;
+    const auto& node = nodes_[*n];
     GroupView one;
     one.path = node.set.path;
     one.depth = node.set.depth;
@@ -785,19 +799,24 @@
     one.weight = node.set.weight;
     one.min_threads = node.set.min_threads;
     one.max_threads = node.set.max_threads;
-    one.share_set = share;
+    one.share_set = 1;
+    for (auto at = *n; at != 0; at = nodes_[at].parent)
+      one.share_set *= nodes_[at].set.weight / nodes_[nodes_[at].parent].child_weight;
     one.share_got = recent(node) / whole;
-    one.lent = share - one.share_got;
+    one.lent = one.share_set - one.share_got;
     one.used_s = node.used;
     one.queued = node.queued;
     one.running = node.running;
     for (const auto& [limit, count] : node.refused) one.refused[std::string(name_of(limit))] = count;
-    all.push_back(std::move(one));
-    double weights = 0;
-    for (const auto child : node.children) weights += nodes_[child].set.weight;
-    for (const auto child : node.children) self(self, child, share * nodes_[child].set.weight / weights);
-  };
-  add(add, 0, 1);
+    out.push_back(std::move(one));
+  }
+  return false;
+}
+
+std::vector<GroupView> Shares::view() const {
+  std::vector<GroupView> all;
+  Number next = 0;
+  view_some(next, std::numeric_limits<std::size_t>::max(), all);
   return all;
 }
 
--- a/src/groups/shares.hpp
+++ b/src/groups/shares.hpp
@@ -115,14 +115,19 @@
   // Ignores what is malformed, whole. The first message of a gateway, or of one begun anew, charges nothing.
   void hear(std::uint32_t from, std::string_view bytes);
 
+  // All groups, parents before children, siblings in the order written.
   [[nodiscard]] std::vector<GroupView> view() const;
+  // The same in pieces, for trees so large that all at once would hold up decisions: appends up to `most`
+  // groups from `next` on (0: from the root) and sets `next` to the following one. False: that was the last.
+  // One that was removed meanwhile ends it too; reload() makes all earlier numbers void.
+  using Number = std::uint32_t;
+  bool view_some(Number& next, std::size_t most, std::vector<GroupView>& out) const;
   [[nodiscard]] std::string path_of(RequestId id) const;  // "": not known
   [[nodiscard]] std::size_t requests() const { return requests_.size(); }
   // Every sum against what it is the sum of; "": all agree.
   [[nodiscard]] std::string inconsistency() const;
 
  private:
-  using Number = std::uint32_t;
   // The order of siblings: those under their minimum first, then by policy, then by number.
   struct Key {
     bool after_minima = true;
@@ -137,6 +142,7 @@
     std::vector<Number> children;
     double v = 0;              // engine time used over weight, against siblings; bounded round floor
     double floor = 0;          // v of the child that has used least of those that wait; never falls
+    double child_weight = 0;   // of all children
     double active_weight = 0;  // of children with requests
     double used = 0, heard = 0, recent = 0;  // thread-seconds: here, told by others, faded sum of both
     Key key;
@@ -207,6 +213,7 @@
   void remove(Number n);
   void sweep_made();
   [[nodiscard]] double fleet_pool() const;
+  [[nodiscard]] std::optional<Number> after(Number n) const;
 
   ShareSettings settings_;
   Tree tree_;
