--- a/src/daemon/decisions.cpp
+++ b/src/daemon/decisions.cpp
@@ -209,9 +209,9 @@
   const bool more = host_.groups()->view_some(groups_next_, kScanned, some);
   for (const auto& g : some) {
     groups_json_ += fmt::format(
-        R"({}{{"path":{},"depth":{},"made":{},"weight":{:.4g},"share_set":{:.4f},"share_got":{:.4f},"lent":{:.4f},"engine_seconds":{:.3f},"queued":{},"running_threads":{},"refused":{{)",
+        R"({}{{"path":{},"depth":{},"made":{},"weight":{:.4g},"share_set":{:.4f},"share_got":{:.4f},"lent":{:.4f},"engine_seconds":{:.3f},"told_seconds":{:.3f},"queued":{},"running_threads":{},"refused":{{)",
         g.depth > 0 ? "," : "", quoted(g.path), g.depth, g.made, g.weight, g.share_set, g.share_got, g.lent,
-        g.used_s, g.queued, g.running);
+        g.used_s, g.heard_s, g.queued, g.running);
     bool first = true;
     for (const auto& [limit, count] : g.refused) {
       groups_json_ += fmt::format(R"({}"{}":{})", first ? "" : ",", limit, count);
--- a/src/groups/shares.cpp
+++ b/src/groups/shares.cpp
@@ -805,6 +805,7 @@
     one.share_got = recent(node) / whole;
     one.lent = one.share_set - one.share_got;
     one.used_s = node.used;
+    one.heard_s = node.heard;
     one.queued = node.queued;
     one.running = node.running;
     for (const auto& [limit, count] : node.refused) one.refused[std::string(name_of(limit))] = count;
--- a/src/groups/shares.hpp
+++ b/src/groups/shares.hpp
@@ -59,6 +59,7 @@
   double share_got = 0;  // of the engine time used lately on this gateway and those that tell
   double lent = 0;       // of share_set, used by others for want of queries; negative: borrowed
   double used_s = 0;     // engine time on this gateway, thread-seconds since the start
+  double heard_s = 0;    // on others, as they told
   std::size_t queued = 0;
   unsigned running = 0;                          // threads
   std::map<std::string, std::uint64_t> refused;  // by limit
--- a/tests/groups/selector_test.cpp
+++ b/tests/groups/selector_test.cpp
@@ -166,5 +166,50 @@
   EXPECT_EQ(made.sweep(210s), std::vector<std::string>{"b"});
 }
 
+// A client that claims another team by header counts for nothing beside an authenticated subject.
+TEST(SelectorsTest, AClaimDoesNotCountBesideASubject) {
+  auto section = yaml::Section::text(
+      "selectors:\n  - {header: {x-team: red}, group: red}\n  - {tag: red, group: red}\n"
+      "  - {subject: ann, header: {x-team: blue}, group: blue}\n  - {subject: ann, group: ann}\n",
+      "test");
+  const auto selectors = Selectors::read(section);
+  Described request;
+  request.tags = {"red"};
+  std::string team = "red";
+  request.header = [&](std::string_view) { return std::optional(team); };
+  EXPECT_EQ(selectors.choose(request).group, "red");
+  request.subject = "ann";
+  EXPECT_EQ(selectors.choose(request).group, "ann");
+  EXPECT_NE(selectors.explain(request).find("does not count"), std::string::npos);
+  team = "blue";
+  EXPECT_EQ(selectors.choose(request).group, "blue");
+}
+
+TEST(SelectorsTest, TakeTheFirstWordOfAStatement) {
+  EXPECT_EQ(first_word("  /* insert */ -- update\n (SELECT 1)"), "select");
+  EXPECT_EQ(first_word("with x as (select 1) insert"), "with");
+  EXPECT_EQ(first_word("/* never ends"), "");
+  EXPECT_EQ(first_word("1 = 1"), "");
+}
+
+// Groups that the tree does not have, or that have children, are told with their place.
+TEST(SelectorsTest, NameGroupsOfTheTree) {
+  auto groups = yaml::Section::text("groups: {a: {groups: {x: {}}}, t: {}}", "test");
+  const auto tree = Tree::read(groups);
+  for (const auto* wrong : {"a", "b", "a.y", "t.${class}.z"}) {
+    auto section =
+        yaml::Section::text(std::string("selectors:\n  - {class: c, group: \"") + wrong + "\"}\n", "test");
+    try {
+      (void)Selectors::read(section, &tree);
+      ADD_FAILURE() << wrong;
+    } catch (const yaml::Error& error) {
+      EXPECT_NE(std::string(error.what()).find("test:2:"), std::string::npos) << error.what();
+    }
+  }
+  auto section =
+      yaml::Section::text("selectors:\n  - {class: c, group: \"t.${class}\"}\ndefault: a.x\n", "test");
+  EXPECT_EQ(Selectors::read(section, &tree).rules().size(), 1u);
+}
+
 }  // namespace
 }  // namespace heronwell::groups
--- a/tests/groups/shares_test.cpp
+++ b/tests/groups/shares_test.cpp
@@ -432,6 +432,36 @@
   }
 }
 
+TEST(Shares, ChargeWhatOthersUsedOnceThoughMessagesAreLostOrComeTwice) {
+  World teller("{a: {}, b: {}}", 4);
+  teller.sources = {{"a", 0, 50ms, 10}};
+  Shares hearer(tree("{a: {}, b: {}}"), {{1, false}, {4, false}}, {});
+  hearer.at(1s, 4);
+  const auto used = [](const Shares& shares, bool heard) {
+    const auto all = shares.view();
+    return heard ? all[1].heard_s : all[1].used_s;
+  };
+  double base = 0;
+  for (int i = 0; i < 20; ++i) {
+    teller.run(200ms);
+    const auto messages = teller.shares.tell(4);
+    ASSERT_EQ(messages.size(), 1u);
+    if (i == 0) base = used(teller.shares, false);
+    if (i % 3 == 1) continue;  // lost
+    hearer.hear(3, messages[0]);
+    if (i % 4 == 2) hearer.hear(3, messages[0]);
+    EXPECT_NEAR(used(hearer, true), used(teller.shares, false) - base, 0.002);
+  }
+  EXPECT_GT(used(hearer, true), 10);
+  Shares begun_anew(tree("{a: {}, b: {}}"), {{1, false}, {4, false}}, {});
+  const double before = used(hearer, true);
+  begun_anew.at(77s, 4);
+  (void)begun_anew.enter(1, "a", false, {});
+  begun_anew.sent(1);
+  for (const auto& message : begun_anew.tell(1)) hearer.hear(3, message);
+  EXPECT_EQ(used(hearer, true), before) << "its sum began anew, and is not taken for less";
+}
+
 TEST(Shares, IgnoreMalformedMessages) {
   Shares shares(tree("{a: {}}"), {{1, false}}, {});
   shares.at(1s, 4);
--- a/tests/router/groups_test.cpp
+++ b/tests/router/groups_test.cpp
@@ -21,7 +21,7 @@
     s.classes = {{.name = "lookup", .aim = 500ms, .give_up = 2s, .effect = effect}};
     s.kinds = {{.name = "small", .cores = 4}};
     s.max_attempts = 3;
-    s.may_call_off = true;
+    s.may_call_off = call_off;
     s.max_retry_after = 700ms;
     s.drain_grace = 500ms;
     s.may_tell = tell;
@@ -68,6 +68,7 @@
       if (const auto* one = std::get_if<C>(&command)) found.push_back(*one);
     return found;
   }
+  bool call_off = true;
   std::optional<Host> host;
   Time now = 1s;
   std::vector<Command> commands;
@@ -96,6 +97,8 @@
 TEST_F(GroupHost, LimitsEndAsRefusedOnlyWhatCanDoNoHarm) {
   for (const auto effect : {Effect::safe, Effect::unsafe}) {
     commands.clear();
+    call_off =
+        effect == Effect::safe;  // where the module may not, what nobody waits for is stopped all the same
     start("{a: {query_time: 300ms}}", effect);
     arrive(1, "a");
     run();
