--- a/src/daemon/decisions.cpp
+++ b/src/daemon/decisions.cpp
@@ -15,10 +15,6 @@
 constexpr std::size_t kScanned = 64;  // groups looked at in one go, for people,
 constexpr auto kScanStep = 5ms;       // and the time between two goes
 
-Time unix_offset() {
-  return std::chrono::duration_cast<Time>(std::chrono::system_clock::now().time_since_epoch()) - steady_now();
-}
-
 std::unique_ptr<groups::Shares> shares_of(const Config& config) {
   if (!config.groups) return nullptr;
   std::vector<groups::Shares::ClassFacts> facts;
--- a/src/daemon/graphql.cpp
+++ b/src/daemon/graphql.cpp
@@ -83,7 +83,7 @@
       tenants_(router::tenant_names(config.module)),
       bound_(load_schema(config)),
       documents_(std::make_unique<graphql::Documents>(bound_->schema(), config.graphql.limits,
-                                                      config.graphql.documents)),
+                                                      config.graphql.documents, steady_now)),
       keys_(config.graphql.key_window, config.graphql.keys, config.graphql.key_bytes) {
   if (sodium_init() < 0) throw std::runtime_error("libsodium can't start");
   headers_ = bound_->headers();
--- a/src/daemon/server.cpp
+++ b/src/daemon/server.cpp
@@ -38,7 +38,7 @@
       : config(std::move(given)),
         metrics(router::class_names(config.module)),
         front(config.module),
-        tracer(config.trace, config.name, HERONWELL_VERSION) {
+        tracer(config.trace, config.name, HERONWELL_VERSION, unix_offset()) {
     for (unsigned i = 0; i < config.threads; ++i)
       shards.push_back(std::make_unique<Shard>(config, metrics, front, tracer, i, config.threads));
     auto& first = shards.front()->context();
--- a/src/daemon/shard.hpp
+++ b/src/daemon/shard.hpp
@@ -45,6 +45,10 @@
 }
 
 inline Time steady_now() { return std::chrono::steady_clock::now().time_since_epoch(); }
+// Unix time less the monotonic clock, now.
+inline Time unix_offset() {
+  return std::chrono::duration_cast<Time>(std::chrono::system_clock::now().time_since_epoch()) - steady_now();
+}
 inline Timer::time_point at(Time moment) {
   return Timer::time_point(std::chrono::duration_cast<std::chrono::steady_clock::duration>(moment));
 }
--- a/src/graphql/documents.cpp
+++ b/src/graphql/documents.cpp
@@ -14,10 +14,10 @@
 
 }  // namespace
 
-std::shared_ptr<const Prepared> prepare(const Schema& schema, std::string_view text, const Limits& limits) {
+std::shared_ptr<const Prepared> prepare(const Schema& schema, std::string_view text, const Limits& limits,
+                                        const Clock& now) {
   auto made = std::make_shared<Prepared>();
   made->bytes = kArena + text.size() * kNodeFactor;
-  const auto now = [] { return std::chrono::steady_clock::now().time_since_epoch(); };
   const auto began = now();
   try {
     made->document = parse(text, limits);
@@ -68,7 +68,7 @@
     }
     ++counts_.misses;
   }
-  auto made = prepare(schema_, text, limits_);
+  auto made = prepare(schema_, text, limits_, now_);
   if (fresh != nullptr) *fresh = true;
   const std::lock_guard lock(mutex_);
   keep({key, "", made, made->bytes + key.size()});
--- a/src/graphql/documents.hpp
+++ b/src/graphql/documents.hpp
@@ -2,6 +2,7 @@
 // of bounded size, the one not used for longest going first. Safe for several threads.
 #pragma once
 
+#include <functional>
 #include <list>
 #include <memory>
 #include <mutex>
@@ -24,15 +25,19 @@
   std::size_t bytes = 0;          // about, of memory
   Time parsing{}, validating{};   // took so long, once
 };
-std::shared_ptr<const Prepared> prepare(const Schema& schema, std::string_view text, const Limits& limits);
+// The clock that tells how long parsing and validation took; handed in, as no room below the daemon reads
+// one.
+using Clock = std::function<Time()>;
+std::shared_ptr<const Prepared> prepare(const Schema& schema, std::string_view text, const Limits& limits,
+                                        const Clock& now);
 
 std::string sha256_hex(std::string_view text);
 
 class Documents {
  public:
   // `most`: bytes of all documents kept.
-  Documents(const Schema& schema, Limits limits, std::size_t most)
-      : schema_(schema), limits_(limits), most_(most) {}
+  Documents(const Schema& schema, Limits limits, std::size_t most, Clock now)
+      : schema_(schema), limits_(limits), most_(most), now_(std::move(now)) {}
 
   std::shared_ptr<const Prepared> get(const std::string& text, bool* fresh = nullptr);
   void persist(const std::string& sha256, const std::string& text);
@@ -57,6 +62,7 @@
   const Schema& schema_;
   Limits limits_;
   std::size_t most_;
+  Clock now_;
   std::mutex mutex_;
   std::list<Kept> kept_;  // the newest used first
   std::unordered_map<std::string_view, std::list<Kept>::iterator>
--- a/src/rehearsal/audit.cpp
+++ b/src/rehearsal/audit.cpp
@@ -115,6 +115,7 @@
     bool whole = false;
     unsigned lives = 0, ended = 0;
     std::size_t number = 0;
+    Nanos latest = 0;
     while (std::getline(file, line)) {
       ++number;
       const auto json = Json::parse(line, nullptr, false);
@@ -127,6 +128,9 @@
       lives += event == "begin" ? 1 : 0;
       ended += whole || event == "tipped" ? 1 : 0;
       if (start_ == 0) start_ = json["t"].get<Nanos>();
+      // Each writer has one clock and writes in its order.
+      if (json["t"].get<Nanos>() < latest) bad(fmt::format("{}:{}: time goes backwards", name, number));
+      latest = std::max(latest, json["t"].get<Nanos>());
       try {
         each(json);
       } catch (const Json::exception&) {
--- a/src/rehearsal/day.cpp
+++ b/src/rehearsal/day.cpp
@@ -60,8 +60,14 @@
         engines_(day.engines),
         entries_(day.engines),
         gateways_(day.gateways),
+        awaited_(day.gateways),
         ports_(day.gateways) {}
 
+  ~Stage() {
+    for (auto& gateway : gateways_) gateway.signal(SIGKILL);  // nobody is waited for any more
+    join();
+  }
+
   LoadReport run() {
     for (unsigned i = 0; i < day_.engines; ++i) start_engine(i, false);
     write_list();
@@ -87,6 +93,7 @@
     const auto report = read_report(clients.line(day_.length + day_.tail + 120s));
     if (clients.wait() != 0) throw std::runtime_error("the clients failed: see clients.log");
     std::this_thread::sleep_for(day_.tail);
+    join();
     for (auto& gateway : gateways_) end(gateway, "a router");
     end(list_, "the list");
     for (auto& engine : engines_) end(engine, "an engine");
@@ -95,6 +102,10 @@
   }
 
  private:
+  void join() {
+    for (auto& one : awaited_)
+      if (one.joinable()) one.join();
+  }
   static std::uint16_t port_of(const std::string& line) {
     const auto colon = line.rfind(':');
     if (colon == std::string::npos) throw std::runtime_error("a process of the day said: " + line);
@@ -315,22 +326,37 @@
       at(begin, [this, i] {
         record("gateway_killed", "gw", i);
         gateways_[i].signal(SIGKILL);
+        if (awaited_[i].joinable()) awaited_[i].join();
         gateways_[i].wait();
       });
       at(over, [this, i] {
         start_gateway(i, ports_[i]);
-        gateways_[i].line(kStart);
-        record("gateway_ready", "gw", i);
+        await(i);
       });
     }
   }
 
+  // That a router is ready again, or never is, is a fact of the day: other troubles go on meanwhile.
+  void await(unsigned i) {
+    const auto longest = std::max<Time>(kStart, start_ + day_.length - steady_clock_now());
+    awaited_[i] = std::thread([this, i, longest] {
+      try {
+        (void)gateways_[i].line(longest);
+        record("gateway_ready", "gw", i);
+      } catch (const std::exception& error) {
+        recorder_.write(steady_clock_now(), "gateway_not_ready",
+                        fmt::format(R"("gw":"gw-{}","why":"{}")", i, error.what()));
+      }
+    });
+  }
+
   const Day& day_;
   std::string folder_, program_;
   Recorder recorder_;
   std::vector<Process> engines_;
   std::vector<fleet::Entry> entries_;
   std::vector<Process> gateways_;
+  std::vector<std::thread> awaited_;  // by router: waits until it is ready
   std::vector<std::uint16_t> ports_, peers_;
   Process list_;
   std::uint16_t list_port_ = 0;
--- a/src/rehearsal/process.cpp
+++ b/src/rehearsal/process.cpp
@@ -9,6 +9,7 @@
 
 #include <cerrno>
 #include <chrono>
+#include <filesystem>
 #include <stdexcept>
 #include <system_error>
 #include <thread>
@@ -16,7 +17,8 @@
 
 namespace heronwell::rehearsal {
 
-Process::Process(const std::vector<std::string>& arguments, const std::string& log) {
+Process::Process(const std::vector<std::string>& arguments, const std::string& log)
+    : name_(log.empty() ? arguments.at(1) : std::filesystem::path(log).stem().string()) {
   int in[2], out[2];
   if (::pipe2(in, O_CLOEXEC) != 0 || ::pipe2(out, O_CLOEXEC) != 0)
     throw std::system_error(errno, std::generic_category(), "pipe");
@@ -57,6 +59,7 @@
   out_ = std::exchange(other.out_, -1);
   code_ = other.code_;
   buffer_ = std::move(other.buffer_);
+  name_ = std::move(other.name_);
   return *this;
 }
 
@@ -84,10 +87,10 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(until - std::chrono::steady_clock::now());
     pollfd one{out_, POLLIN, 0};
     if (left.count() <= 0 || ::poll(&one, 1, static_cast<int>(left.count())) <= 0)
-      throw std::runtime_error("a process of the day gave no word");
+      throw std::runtime_error(name_ + " gave no word");
     char chunk[512];
     const auto got = ::read(out_, chunk, sizeof chunk);
-    if (got <= 0) throw std::runtime_error("a process of the day ended at its start");
+    if (got <= 0) throw std::runtime_error(name_ + " ended at its start");
     buffer_.append(chunk, static_cast<std::size_t>(got));
   }
 }
--- a/src/rehearsal/process.hpp
+++ b/src/rehearsal/process.hpp
@@ -31,7 +31,7 @@
   void drop();
   pid_t pid_ = -1;
   int in_ = -1, out_ = -1, code_ = -1;
-  std::string buffer_;
+  std::string buffer_, name_;  // name: for errors
 };
 
 }  // namespace heronwell::rehearsal
--- a/src/trace/tracer.cpp
+++ b/src/trace/tracer.cpp
@@ -5,17 +5,17 @@
 #include <unistd.h>
 
 #include <cerrno>
-#include <chrono>
 #include <cstdio>
 #include <system_error>
 
 namespace heronwell::trace {
 
-Tracer::Tracer(Options options, std::string gateway, std::string version)
-    : options_(std::move(options)), gateway_(std::move(gateway)), version_(std::move(version)) {
+Tracer::Tracer(Options options, std::string gateway, std::string version, Time unix_offset)
+    : options_(std::move(options)),
+      gateway_(std::move(gateway)),
+      version_(std::move(version)),
+      offset_(unix_offset) {
   if (!on()) return;
-  offset_ = std::chrono::duration_cast<Time>(std::chrono::system_clock::now().time_since_epoch()) -
-            std::chrono::duration_cast<Time>(std::chrono::steady_clock::now().time_since_epoch());
   open();
   thread_ = std::thread([this] { write(); });
 }
--- a/src/trace/tracer.hpp
+++ b/src/trace/tracer.hpp
@@ -24,8 +24,9 @@
 
 class Tracer {
  public:
-  // Throws std::system_error where the file can't be opened.
-  Tracer(Options options, std::string gateway, std::string version);
+  // `unix_offset`: Unix time less the clock of the spans. Throws std::system_error where the file can't be
+  // opened.
+  Tracer(Options options, std::string gateway, std::string version, Time unix_offset);
   ~Tracer();  // writes what is waiting
 
   [[nodiscard]] bool on() const { return !options_.file.empty(); }
--- a/tests/graphql/over_http_test.cpp
+++ b/tests/graphql/over_http_test.cpp
@@ -134,7 +134,7 @@
 
 TEST(DocumentsTest, AreKeptWithinTheirBoundTheLongestUnusedGoingFirst) {
   const Schema schema("type Query{a:Int b:Int}");
-  Documents documents(schema, {}, 48'000);
+  Documents documents(schema, {}, 48'000, [] { return Time{}; });
   const auto first = documents.get("{a}");
   EXPECT_TRUE(first->errors.empty());
   EXPECT_EQ(documents.get("{a}"), first);
--- a/tests/rehearsal/audit_test.cpp
+++ b/tests/rehearsal/audit_test.cpp
@@ -8,6 +8,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <filesystem>
 #include <fstream>
 #include <thread>
@@ -98,7 +99,20 @@
     ran(ms + 1, ms + 20, 1, id);
     answered(ms + 21, id);
   }
+  // As their writers would: in the order of time. Records with a line cut short stay as they are.
+  void in_order(const std::string& file) {
+    std::ifstream in(folder / (file + ".jsonl"));
+    std::vector<std::pair<std::int64_t, std::string>> lines;
+    for (std::string line; std::getline(in, line);) {
+      if (!line.ends_with('}')) return;
+      lines.emplace_back(std::stoll(line.substr(line.find(':') + 1)), line);
+    }
+    std::ranges::stable_sort(lines, {}, &std::pair<std::int64_t, std::string>::first);
+    std::ofstream out(folder / (file + ".jsonl"), std::ios::trunc);
+    for (const auto& [at, line] : lines) out << line << "\n";
+  }
   Audit result(bool whole = true) {
+    for (const auto* file : {"day", "list", "clients", "engine-0", "engine-1"}) in_order(file);
     if (whole)
       for (const auto* file : {"day", "list", "clients", "engine-0", "engine-1"})
         write(file, 20000, "whole", "");
@@ -306,6 +320,18 @@
   lookup(0, "a");
   EXPECT_FALSE(result(false).kept());
 }
+TEST_F(AuditTest, RefusesRecordsWhoseTimeGoesBackwards) {
+  lookup(0, "a");
+  told(100, 1, 1);
+  told(200, 0, 1);
+  for (const auto* file : {"day", "list", "clients", "engine-0", "engine-1"}) in_order(file);
+  told(100, 1, 1);  // a line that came before, again
+  for (const auto* file : {"day", "list", "clients", "engine-0", "engine-1"}) write(file, 20000, "whole", "");
+  const auto a = audit(folder);
+  EXPECT_FALSE(a.kept());
+  ASSERT_EQ(a.unreliable.size(), 1U);
+  EXPECT_EQ(a.unreliable[0], "list.jsonl:5: time goes backwards");
+}
 TEST_F(AuditTest, RefusesRecordsThatContradictEachOther) {
   ran(1, 20, 0, "never-sent");
   const auto a = result();
--- a/tests/trace/trail_test.cpp
+++ b/tests/trace/trail_test.cpp
@@ -119,7 +119,7 @@
 
 TEST_F(TracerTest, KeepsTroubleWhateverTheHeadChose) {
   {
-    Tracer tracer({file, 0, true}, "gw", "");
+    Tracer tracer({file, 0, true}, "gw", "", Time::zero());
     for (const bool trouble : {false, true, false}) {
       const auto trail = tracer.begin("", 1, 2);
       ASSERT_TRUE(trail);
@@ -133,7 +133,7 @@
 }
 
 TEST_F(TracerTest, CollectsNothingThatCanNotBeKept) {
-  const Tracer off({}, "gw", ""), head_only({file, 0, false}, "gw", "");
+  const Tracer off({}, "gw", "", Time::zero()), head_only({file, 0, false}, "gw", "", Time::zero());
   EXPECT_EQ(off.begin("00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01", 1, 2), nullptr);
   EXPECT_EQ(head_only.begin("", 1, 2), nullptr);
   EXPECT_NE(head_only.begin("00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01", 1, 2), nullptr);
@@ -141,7 +141,7 @@
 
 TEST_F(TracerTest, AFileThatIsFullMakesRoomAndNothingIsLost) {
   {
-    Tracer tracer({file, 1, true, 4096, 2000}, "gw", "");
+    Tracer tracer({file, 1, true, 4096, 2000}, "gw", "", Time::zero());
     for (int i = 0; i < 9; ++i) {
       tracer.finish(std::make_shared<Trail>(sample()));
       while (tracer.written() <= static_cast<std::uint64_t>(i)) std::this_thread::sleep_for(1ms);
