A group whose engines are all cold holds nobody back: tested through the host

With weight 100 against 1 and only cold engines for its class, the other group is sent over nine tenths of what it gets alone, and the cold engine's turns are used.

--- a/tests/router/groups_test.cpp
+++ b/tests/router/groups_test.cpp
@@ -3,7 +3,10 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <map>
 #include <random>
+#include <ranges>
+#include <set>
 
 #include "router/front.hpp"
 #include "router/host.hpp"
@@ -222,5 +225,68 @@
   for (const auto& one : told) EXPECT_LE(one.bytes.size(), 256u);
 }
 
+// All engines of a group's class are cold, and give its queries few turns: the other group gets as much as if
+// it were alone, and the cold engines' turns are used.
+TEST(ColdGroup, HoldsNobodyBack) {
+  const auto sends = [](bool cold_too) {
+    Settings s;
+    s.classes = {{.name = "lookup", .aim = 500ms, .give_up = 2s},
+                 {.name = "special", .aim = 1s, .give_up = 4s}};
+    s.classes[0].kinds = {0};
+    s.classes[1].kinds = {1};
+    s.kinds = {{.name = "warm", .cores = 4}, {.name = "cold", .cores = 4}};
+    s.max_attempts = 3;
+    s.drain_grace = 500ms;
+    s.cold_from = 0.3;
+    s.ramp_time = 20s;
+    s.tip_multiple = 2;
+    s.tip_window = 2s;
+    auto section = yaml::Section::text("groups: {a: {weight: 100}, b: {}}", "test");
+    Host host(s, 1, 1,
+              std::make_unique<groups::Shares>(
+                  groups::Tree::read(section),
+                  std::vector<groups::Shares::ClassFacts>{{1, false}, {1, false}}, groups::ShareSettings{}));
+    Time now = 1s;
+    host.listing({ListKind::full, {{.engine = 1, .kind = 0}, {.engine = 2, .kind = 1, .last_start = now}}});
+    std::array<unsigned, 2> sent{};
+    std::map<Ticket, ClassIndex> held;
+    std::multimap<Time, std::pair<Ticket, AttemptIndex>> ends;
+    Ticket tickets = 0;
+    for (std::vector<Command> commands; now < 9s; now += 2ms) {
+      while (!ends.empty() && ends.begin()->first <= now) {
+        const auto [ticket, attempt] = ends.begin()->second;
+        ends.erase(ends.begin());
+        host.attempt_ended(now, {.ticket = ticket, .attempt = attempt, .result = Result::served, .at = now});
+      }
+      for (ClassIndex c = 0; c < (cold_too ? 2 : 1); ++c)
+        while (std::ranges::count(held | std::views::values, c) < 10) {
+          Ask ask;
+          ask.ticket = ++tickets;
+          ask.asked.cls = c;
+          ask.asked.time_left = s.classes[c].give_up;
+          ask.group = c == 0 ? "b" : "a";
+          held[ask.ticket] = c;
+          host.arrive(now, ask);
+        }
+      commands.clear();
+      do host.run(now, commands);
+      while (host.next_due() <= Time::zero());
+      for (const auto& command : commands) {
+        if (const auto* start = std::get_if<StartAttempt>(&command)) {
+          ++sent[start->engine - 1];
+          held.erase(start->ticket);
+          ends.emplace(now + 30ms, std::pair(start->ticket, start->attempt));
+        }
+        if (const auto* answer = std::get_if<Answer>(&command)) held.erase(answer->ticket);
+      }
+    }
+    return sent;
+  };
+  const auto alone = sends(false), both = sends(true);
+  EXPECT_GT(alone[0], 1000u);
+  EXPECT_GT(both[0], 0.9 * alone[0]);
+  EXPECT_GT(both[1], 5u);
+}
+
 }  // namespace
 }  // namespace heronwell::router
