--- a/src/groups/shares.cpp
+++ b/src/groups/shares.cpp
@@ -14,6 +14,8 @@
 using namespace std::chrono_literals;
 constexpr Time kTick = 50ms;         // between looks at what runs longer than it was charged for
 constexpr Time kAbsence = 200ms;     // without a call for so long, this gateway was itself away
+constexpr Time kSweep = 1s;          // between looks for made groups that are idle for long,
+constexpr std::size_t kSwept = 32;   // and so many are removed at once
 constexpr Time kMostPass = 8s;       // of the times for which a group that finds no engine is passed by
 constexpr unsigned kNotTaken = 4;    // times its threads that became free for a query, and
 constexpr Time kOffered = 20ms;      // so long after, a tick of the module's, it was sent nowhere
@@ -161,12 +163,17 @@
   free_.push_back(n);
 }
 
+// A few at a time: each moves up those after it.
 void Shares::sweep_made() {
-  for (Number n = 1; n < nodes_.size(); ++n) {
+  swept_ = now_;
+  std::size_t left = kSwept;
+  for (Number n = 1; n < nodes_.size() && left > 0; ++n) {
     const auto& node = nodes_[n];
     if (node.live && node.made && node.leaf() && node.requests == 0 &&
-        now_ >= std::max(node.idle_since, node.made_since) + settings_.made_idle)
+        now_ >= std::max(node.idle_since, node.made_since) + settings_.made_idle) {
       remove(n);
+      --left;
+    }
   }
 }
 
@@ -360,6 +367,7 @@
 // What runs longer than it was charged for is charged on.
 void Shares::tick() {
   ticked_ = now_;
+  if (made_ > 0 && now_ >= swept_ + kSweep) sweep_made();
   for (const auto id : running_) {
     auto& held = requests_.at(id);
     for (auto& out : held.out) {
@@ -515,6 +523,15 @@
          node.memory >= node.set.max_memory_mb / settings_.gateways;
 }
 
+bool Shares::memory_fits(Number leaf, double memory_mb) const {
+  for (auto n = leaf; memory_mb > 0 && n != 0; n = nodes_[n].parent) {
+    const auto& node = nodes_[n];
+    if (node.running > 0 && node.memory + memory_mb > node.set.max_memory_mb / settings_.gateways)
+      return false;
+  }
+  return true;
+}
+
 void Shares::begin_turn(Node& node) const {
   if (node.turn.hold_since != Time::zero()) return;
   node.turn.hold_since = now_;
@@ -575,7 +592,7 @@
   if (node.queue.empty()) return;
   std::size_t left = classes_[cls].in_order ? kByKey : 1;
   for (const auto& [turn, id] : node.queue[cls]) {
-    if (left-- == 0) break;
+    if (left-- == 0 || !memory_fits(n, requests_.at(id).query.memory_mb)) break;
     found_.push_back(id);
   }
 }
@@ -789,7 +806,10 @@
   const double whole = std::max(1e-9, recent(nodes_[0]));
   for (std::optional<Number> n = next; n; n = after(*n)) {
     next = *n;
-    if (*n >= nodes_.size() || !nodes_[*n].live) return false;
+    if (*n >= nodes_.size() || !nodes_[*n].live) {
+      next = 0;
+      return true;
+    }
     if (most-- == 0) return true;
     const auto& node = nodes_[*n];
     GroupView one;
--- a/src/groups/shares.hpp
+++ b/src/groups/shares.hpp
@@ -120,7 +120,8 @@
   [[nodiscard]] std::vector<GroupView> view() const;
   // The same in pieces, for trees so large that all at once would hold up decisions: appends up to `most`
   // groups from `next` on (0: from the root) and sets `next` to the following one. False: that was the last.
-  // One that was removed meanwhile ends it too; reload() makes all earlier numbers void.
+  // Where the next one was removed meanwhile, it begins anew (`next` 0); reload() makes all earlier numbers
+  // void.
   using Number = std::uint32_t;
   bool view_some(Number& next, std::size_t most, std::vector<GroupView>& out) const;
   [[nodiscard]] std::string path_of(RequestId id) const;  // "": not known
@@ -199,6 +200,7 @@
   [[nodiscard]] double rate(Number parent) const;  // at which v of its children grows, a second
   [[nodiscard]] double limit(Number n) const;      // threads here
   [[nodiscard]] bool at_ceiling(Number n, ClassIndex cls) const;
+  [[nodiscard]] bool memory_fits(Number leaf, double memory_mb) const;
   [[nodiscard]] bool passed_by(Node& node) const;
   std::optional<Key> front(Number n);
   void walk(Number n, ClassIndex cls, double share);
@@ -237,7 +239,7 @@
   std::uint64_t freed_ = 0;  // threads, since the start
   unsigned widest_ = 1;      // threads of a query
   std::size_t made_ = 0;
-  Time now_{}, ticked_{};
+  Time now_{}, ticked_{}, swept_{};
   double pool_ = 1, fleet_pool_ = 1;
 };
 
--- a/tests/groups/shares_test.cpp
+++ b/tests/groups/shares_test.cpp
@@ -206,6 +206,41 @@
   }
 }
 
+TEST(Shares, MemoryCeilingsHoldBackByEstimates) {
+  Shares shares(tree("{a: {max_memory: 100MiB}, b: {}}"), {{1, false}}, {});
+  shares.at(1s, 8);
+  for (RequestId id = 1; id <= 3; ++id) ASSERT_EQ(shares.enter(id, "a", false, {0, 60, {}}), Limit::none);
+  shares.sent(shares.in_turn(0).front());
+  EXPECT_TRUE(shares.in_turn(0).empty()) << "a second would pass it";
+  shares.ended(1, 0, true);
+  shares.settled(1);
+  EXPECT_EQ(shares.in_turn(0), std::vector<RequestId>{2});
+}
+
+// What a group is ahead by when it stops asking fades: at once it waits for the other to catch up, a minute
+// later it does not.
+TEST(Shares, DebtsFadeWhileAGroupAsksNothing) {
+  for (const Time pause : {Time(1s), Time(60s)}) {
+    World elsewhere("{a: {}, b: {}}", 8), world("{a: {}, b: {}}", 8);
+    elsewhere.sources = {{"a", 0, 50ms, 20}};
+    elsewhere.run(1s);
+    world.sources = {{"a", 0, 50ms, 20}, {"b", 0, 50ms, 20}};
+    world.run(1s);
+    for (const auto& m : elsewhere.shares.tell(4)) world.shares.hear(1, m);
+    elsewhere.run(5s);
+    for (const auto& m : elsewhere.shares.tell(4)) world.shares.hear(1, m);
+    world.sources[0].count = world.sources[1].count = 0;
+    world.run(pause);
+    world.sources[0].count = world.sources[1].count = 20;
+    const auto share = world.share_over(400ms)["b"];  // the credit that a group can come back with
+
+    if (pause == Time(1s))
+      EXPECT_GT(share, 0.9);
+    else
+      EXPECT_NEAR(share, 0.5, 0.2);
+  }
+}
+
 TEST(Shares, RefuseAtOnceWhatCouldNeverRun) {
   Shares shares(
       tree("{a: {max_threads: 2, query_work: 1s, query_memory: 64MiB, groups: {x: {max_queued: 2}}}}"),
@@ -388,7 +423,8 @@
   EXPECT_EQ(shares.enter(4, "t.g4", false, {}), Limit::unknown_group);
   shares.settled(1);
   EXPECT_EQ(shares.enter(4, "t.g4", true, {}), Limit::made);
-  shares.at(12s, 4);
+  shares.at(12s, 4);  // the idle one is gone by itself
+  EXPECT_EQ(shares.view().size(), 4u);
   EXPECT_EQ(shares.enter(4, "t.g4", true, {}), Limit::none);
   EXPECT_EQ(shares.inconsistency(), "");
 }
