Benchmarks refuse to run in a build without optimisation

The command in docs/performance.md once measured an unoptimised build: 10,000 requests a second instead of 61,000. Seen: exit 2 with the reason at -O0, runs at -O2 and -O3.

--- a/benchmarks/graphql_bench.cpp
+++ b/benchmarks/graphql_bench.cpp
@@ -7,6 +7,7 @@
 
 #include "graphql/document.hpp"
 #include "graphql/validate.hpp"
+#include "release.hpp"
 
 namespace {
 std::size_t allocated = 0;  // bytes, of all calls
--- a/benchmarks/graphql_http_bench.cpp
+++ b/benchmarks/graphql_http_bench.cpp
@@ -13,6 +13,7 @@
 #include "http/message.hpp"
 #include "lines.hpp"
 #include "rehearsal/process.hpp"
+#include "release.hpp"
 
 namespace {
 
--- a/benchmarks/groups_bench.cpp
+++ b/benchmarks/groups_bench.cpp
@@ -5,6 +5,7 @@
 
 #include "groups/selector.hpp"
 #include "groups/shares.hpp"
+#include "release.hpp"
 
 namespace {
 
--- a/benchmarks/groups_options.cpp
+++ b/benchmarks/groups_options.cpp
@@ -12,6 +12,7 @@
 
 #include "groups/shares.hpp"
 #include "rehearsal/model.hpp"
+#include "release.hpp"
 #include "router/host.hpp"
 
 namespace {
--- /dev/null
+++ b/benchmarks/release.hpp
@@ -0,0 +1,19 @@
+// Figures of a build without optimisation mislead: a benchmark says so and stops.
+#pragma once
+
+#include <cstdio>
+#include <cstdlib>
+
+namespace heronwell::benchmarks {
+
+struct ReleaseOnly {
+  ReleaseOnly() {
+#ifndef __OPTIMIZE__
+    std::fputs("built without optimisation: configure with -DCMAKE_BUILD_TYPE=Release\n", stderr);
+    std::exit(2);
+#endif
+  }
+};
+inline const ReleaseOnly release_only;
+
+}  // namespace heronwell::benchmarks
--- a/benchmarks/router_bench.cpp
+++ b/benchmarks/router_bench.cpp
@@ -27,6 +27,7 @@
 #include "http/message.hpp"
 #include "lines.hpp"
 #include "rehearsal/process.hpp"
+#include "release.hpp"
 #include "sql/protocol.hpp"
 
 namespace {
