The groups' file is opened by the daemon; a file within the file is refused

The room of groups opened a file, and a reload would have followed a file key that start-up refused.

--- a/src/daemon/config.cpp
+++ b/src/daemon/config.cpp
@@ -126,7 +126,15 @@
   read_graphql(file.section("graphql"), config.graphql);
   if (file.has("groups")) {
     auto groups = file.section("groups");
-    config.groups = groups::Plan::read(groups);
+    if (groups.has("file")) {
+      const auto path = groups.string("file");
+      groups.close();
+      auto alone = yaml::Section::file(path);
+      config.groups = groups::Plan::read(alone);
+      config.groups->file = path;
+    } else {
+      config.groups = groups::Plan::read(groups);
+    }
     config.groups->settings.gateways = config.module.gateways;
   }
   auto trace = file.section("trace");
--- a/src/groups/plan.cpp
+++ b/src/groups/plan.cpp
@@ -3,11 +3,6 @@
 namespace heronwell::groups {
 
 Plan Plan::read(yaml::Section& section) {
-  if (section.has("file")) {
-    auto plan = from_file(section.string("file"));
-    section.close();
-    return plan;
-  }
   Plan plan;
   plan.text = section.text();
   plan.tree = Tree::read(section);
@@ -19,12 +14,4 @@
   return plan;
 }
 
-Plan Plan::from_file(const std::string& path) {
-  auto section = yaml::Section::file(path);
-  if (section.has("file")) section.fail("file", "expected none within this file");
-  auto plan = read(section);
-  plan.file = path;
-  return plan;
-}
-
 }  // namespace heronwell::groups
--- a/src/groups/plan.hpp
+++ b/src/groups/plan.hpp
@@ -19,9 +19,8 @@
   std::string text;  // as written, in one line of YAML
   std::string file;  // where it stands by itself, to be read again when it changes; "": in the configuration
 
-  // Reads a section with either `file` or the plan itself. Throws yaml::Error.
+  // Throws yaml::Error.
   static Plan read(yaml::Section& section);
-  static Plan from_file(const std::string& path);
 };
 
 }  // namespace heronwell::groups
