--- a/benchmarks/graphql_http_bench.cpp
+++ b/benchmarks/graphql_http_bench.cpp
@@ -106,7 +106,7 @@
         folder.string(), groups_of(kVariants[i]),
         trace.empty() ? ""
                       : fmt::format("trace: {{file: {}/trace-{}.jsonl, {}}}\n", folder.string(), i, trace));
-    all[i].server = std::make_unique<daemon::Server>(daemon::read_config(yaml::Section::text(yaml, "bench")));
+    all[i].server = std::make_unique<daemon::Server>(config::read_config(yaml::Section::text(yaml, "bench")));
     auto ready = std::make_shared<std::promise<void>>();
     all[i].thread =
         std::thread([&one = all[i], ready] { one.server->run([ready] { ready->set_value(); }, 100ms); });
--- a/benchmarks/router_bench.cpp
+++ b/benchmarks/router_bench.cpp
@@ -102,7 +102,7 @@
       folder.string());
   std::ofstream(folder / "router.yaml") << yaml;
 
-  daemon::Server server(daemon::read_config(yaml::Section::text(yaml, "bench")));
+  daemon::Server server(config::read_config(yaml::Section::text(yaml, "bench")));
   std::promise<void> ready;
   std::thread router([&] {
     router_allocations = &allocations;
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -23,8 +23,7 @@
 #include <sstream>
 #include <thread>
 
-#include "daemon/config.hpp"
-#include "daemon/graphql.hpp"
+#include "config/config.hpp"
 #include "daemon/server.hpp"
 #include "fleet/list.hpp"
 #include "rehearsal/audit.hpp"
@@ -42,7 +41,7 @@
 constexpr int kDone = 0, kFailed = 1, kWrongUse = 2, kNoStart = 3;
 constexpr Time kLongestStop = std::chrono::seconds(5);
 
-void open_log(const daemon::Config::Log& log) {
+void open_log(const config::Config::Log& log) {
   auto logger = log.file.empty() ? spdlog::stderr_logger_mt("heronwell")
                                  : spdlog::basic_logger_mt("heronwell", log.file);
   logger->set_pattern(R"({"ts":"%Y-%m-%dT%H:%M:%S.%e%z","level":"%l","data":%v})");
@@ -52,7 +51,7 @@
   if (!log.file.empty()) spdlog::flush_every(std::chrono::seconds(1));
 }
 
-int serve(const daemon::Config& config) {
+int serve(const config::Config& config) {
   open_log(config.log);
   daemon::Server server(config);
   const auto port = server.port();
@@ -246,7 +245,7 @@
 };
 
 int explain_group(const std::string& config_file, Explained asked) {
-  const auto config = daemon::read_config(yaml::Section::file(config_file));
+  const auto config = config::read_config(yaml::Section::file(config_file));
   if (!config.groups) throw yaml::Error(config_file + ":1:1: groups: missing");
   std::map<std::string, std::string, std::less<>> headers;
   for (const auto& header : asked.headers) {
@@ -401,10 +400,10 @@
                           text + "\"");
       return *value;
     };
-    if (*serving) return serve(daemon::read_config(yaml::Section::file(config_file)));
+    if (*serving) return serve(config::read_config(yaml::Section::file(config_file)));
     if (*demo) {
       const rehearsal::Demo stand_ins(engines);
-      return serve(daemon::read_config(yaml::Section::text(stand_ins.config(port), "demo")));
+      return serve(config::read_config(yaml::Section::text(stand_ins.config(port), "demo")));
     }
     if (*engine) {
       options.traits.ramp = duration("ramp", ramp);
@@ -421,17 +420,17 @@
     if (*grouping) return show_groups(host, groups_port, duration("every", every));
     if (*following) return follow(trace_id, trace_files);
     if (*schema_check) {
-      auto read = daemon::read_config(yaml::Section::file(config_file));
+      auto read = config::read_config(yaml::Section::file(config_file));
       if (!schema_file.empty()) read.graphql.schema = schema_file, read.graphql.sdl.clear();
       if (!read.graphql.served()) throw yaml::Error(config_file + ":1:1: graphql.schema: missing");
       std::cout << daemon::load_schema(read)->summary();
       return kDone;
     }
     if (*check) {
-      const auto read = daemon::read_config(yaml::Section::file(config_file));
+      const auto read = config::read_config(yaml::Section::file(config_file));
       Gateway probe(read.module, 1);  // the module's own check of its settings
       if (read.graphql.served()) (void)daemon::load_schema(read);
-      std::cout << daemon::effective(read);
+      std::cout << config::effective(read);
       return kDone;
     }
     std::cout << "heronwell " << HERONWELL_VERSION << std::endl;
--- a/src/daemon/config.cpp
+++ b/src/config/config.cpp
@@ -1,4 +1,4 @@
-#include "daemon/config.hpp"
+#include "config/config.hpp"
 
 #include <fmt/format.h>
 
@@ -6,7 +6,7 @@
 
 #include "base/json.hpp"
 
-namespace heronwell::daemon {
+namespace heronwell::config {
 namespace {
 
 using namespace std::chrono_literals;
@@ -242,4 +242,4 @@
   return out + router::effective(c.module, c.names);
 }
 
-}  // namespace heronwell::daemon
+}  // namespace heronwell::config
--- a/src/daemon/config.hpp
+++ b/src/config/config.hpp
@@ -1,4 +1,4 @@
-// The daemon's whole configuration, checked before anything starts. docs/operators/running.md explains each
+// The router's whole configuration, checked before anything starts. docs/operators/running.md explains each
 // key.
 #pragma once
 
@@ -16,11 +16,12 @@
 #include "router/settings.hpp"
 #include "trace/tracer.hpp"
 
-namespace heronwell::daemon {
+namespace heronwell::config {
 
 struct Address {
   std::string host;
   std::uint16_t port = 0;
+  bool operator==(const Address&) const = default;
 };
 
 struct Config {
@@ -92,4 +93,4 @@
 Config read_config(yaml::Section file);
 std::string effective(const Config& config);  // as YAML that read_config() reads to the same
 
-}  // namespace heronwell::daemon
+}  // namespace heronwell::config
--- a/src/daemon/decisions.hpp
+++ b/src/daemon/decisions.hpp
@@ -1,6 +1,5 @@
-// The decision strand: gathers what shards, list and peers tell, hands it to the host in one call a tick, and
-// spreads the commands over the shards. A tick is all that has come since the last one; it begins as soon as
-// something has.
+// What the decision strand (src/path) lives on: its mailbox, its timers, the list sources, the groups' file
+// and the datagrams between gateways. Nothing is decided here.
 #pragma once
 
 #include <boost/asio/ip/udp.hpp>
@@ -9,57 +8,46 @@
 
 #include "daemon/lists.hpp"
 #include "daemon/peers.hpp"
-#include "daemon/shard.hpp"
+#include "daemon/thread.hpp"
+#include "path/strand.hpp"
 
 namespace heronwell::daemon {
 
-class Decisions {
+class Decisions final : public path::StrandWorld {
  public:
   // Throws std::invalid_argument naming a senseless setting.
-  Decisions(asio::io_context& context, const Config& config, Metrics& metrics, std::uint64_t seed);
+  Decisions(asio::io_context& context, const config::Config& config, path::Metrics& metrics,
+            std::uint64_t seed);
 
   Inbox& inbox() { return inbox_; }
-  void start(std::vector<Shard*> shards);
+  void start(std::vector<Thread*> threads);
   void stop();
-  // Calls `then` once, when the first list with a ready engine is in force.
-  void on_ready(std::function<void()> then) { ready_ = std::move(then); }
+  void on_ready(std::function<void()> then) { strand_.on_ready(std::move(then)); }
+
+  [[nodiscard]] Time now() override { return steady_now(); }
+  [[nodiscard]] Time unix_offset() override { return daemon::unix_offset(); }
+  void order(std::size_t shard, std::vector<path::Order>& orders) override;
+  void tell_peers(const router::TellPeers& tell) override;
+  void log(path::Level level, std::string line) override;
 
  private:
-  void read(std::vector<Told>& told);
-  void on(const Told& told);
-  void run();
   void arm();
-  void carry_out(router::Command& command);
-  void list(const Listed& listed);
   void measure();
-  void apply_schedules();
   void scan_groups();
   void watch_groups();
-  void reload_groups(const std::string& text);
   void open_peers();
   void hear_peers();
-  void tell_peers(const router::TellPeers& tell);
 
   asio::io_context& context_;
-  const Config& config_;
-  Metrics& metrics_;
-  router::Host host_;
-  fleet::Book book_;
+  const config::Config& config_;
+  path::Metrics& metrics_;
+  path::Strand strand_;
   Inbox inbox_;
-  Timer timer_, measuring_;
+  SteadyTimer timer_, measuring_, groups_watch_, groups_scan_;
   Time armed_ = Time::max();
-  std::vector<Shard*> shards_;
-  std::vector<std::vector<Order>> orders_;  // by shard, of this tick
-  std::vector<router::Command> commands_;
+  std::vector<Thread*> threads_;
   ListSource lists_;
-  std::function<void()> ready_;
-  Time lag_{};
-  std::vector<std::string> schedules_in_force_;
   std::string groups_text_;  // of the groups' file, as last read
-  Timer groups_watch_, groups_scan_;
-  groups::Shares::Number groups_next_ = 0;  // of the scan
-  std::string groups_json_;                 // of the scan, as far as it has come
-  std::optional<groups::Schedules> schedules_;
   bool stopped_ = false;
 
   std::optional<PeerCodec> codec_;
--- a/src/daemon/lists.cpp
+++ b/src/daemon/lists.cpp
@@ -21,12 +21,13 @@
 constexpr std::size_t kMostList = 64 << 20;
 
 void say(const char* event, const std::string& what) {
-  spdlog::warn(R"({{"event":"{}","detail":{}}})", event, quoted(what));
+  spdlog::warn(R"({{"event":"{}","detail":{}}})", event, path::quoted(what));
 }
 
 }  // namespace
 
-ListSource::ListSource(Executor executor, const Config& config, std::function<void(Listed)> tell)
+ListSource::ListSource(Executor executor, const config::Config& config,
+                       std::function<void(path::Listed)> tell)
     : executor_(executor), config_(config), tell_(std::move(tell)), timer_(executor) {}
 
 void ListSource::start() {
@@ -99,7 +100,7 @@
   }
 }
 
-asio::awaitable<std::string, Executor> ListSource::fetch(const Address& where, std::uint64_t& index) {
+asio::awaitable<std::string, Executor> ListSource::fetch(const config::Address& where, std::uint64_t& index) {
   const auto& list = config_.list;
   socket_ = std::make_shared<Socket>(executor_);
   const auto socket = socket_;
--- a/src/daemon/lists.hpp
+++ b/src/daemon/lists.hpp
@@ -5,28 +5,29 @@
 #include <boost/asio/awaitable.hpp>
 #include <functional>
 
-#include "daemon/shard.hpp"
+#include "daemon/clock.hpp"
+#include "path/exchange.hpp"
 
 namespace heronwell::daemon {
 
 class ListSource {
  public:
-  ListSource(Executor executor, const Config& config, std::function<void(Listed)> tell);
+  ListSource(Executor executor, const config::Config& config, std::function<void(path::Listed)> tell);
   void start();
   void stop();
 
  private:
   asio::awaitable<void, Executor> watch_file();
   asio::awaitable<void, Executor> watch_consul();
-  asio::awaitable<std::string, Executor> fetch(const Address& at,
+  asio::awaitable<std::string, Executor> fetch(const config::Address& at,
                                                std::uint64_t& index);  // throws on any failure
   asio::awaitable<void, Executor> pause(Time time);
 
   Executor executor_;
-  const Config& config_;
-  std::function<void(Listed)> tell_;
+  const config::Config& config_;
+  std::function<void(path::Listed)> tell_;
   std::shared_ptr<Socket> socket_;
-  Timer timer_;
+  SteadyTimer timer_;
   bool stopped_ = false;
 };
 
--- a/src/daemon/server.cpp
+++ b/src/daemon/server.cpp
@@ -6,11 +6,13 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <fstream>
+#include <iterator>
 #include <random>
 #include <thread>
 
 #include "daemon/decisions.hpp"
-#include "daemon/graphql.hpp"
+#include "path/graphql.hpp"
 
 namespace heronwell::daemon {
 namespace {
@@ -33,23 +35,34 @@
 
 }  // namespace
 
+std::unique_ptr<graphql::Bound> load_schema(const config::Config& config) {
+  auto text = config.graphql.sdl;
+  const auto name = text.empty() ? config.graphql.schema : std::string("graphql.sdl");
+  if (text.empty()) {
+    std::ifstream file(name, std::ios::binary);
+    text.assign(std::istreambuf_iterator<char>(file), {});
+    if (!file) throw yaml::Error(name + ":1:1: cannot be read");
+  }
+  return path::bind_schema(config, text, name);
+}
+
 struct Server::Parts {
-  explicit Parts(Config given)
+  explicit Parts(config::Config given)
       : config(std::move(given)),
         metrics(router::class_names(config.module)),
         front(config.module),
         tracer(config.trace, config.name, HERONWELL_VERSION, unix_offset()) {
     for (unsigned i = 0; i < config.threads; ++i)
-      shards.push_back(std::make_unique<Shard>(config, metrics, front, tracer, i, config.threads));
-    auto& first = shards.front()->context();
+      threads.push_back(std::make_unique<Thread>(config, metrics, front, tracer, i));
+    auto& first = threads.front()->context();
     decisions = std::make_unique<Decisions>(first, config, metrics, config.seed.value_or(drawn_seed()));
-    if (config.graphql.served()) graphql.emplace(config);
-    for (auto& shard : shards) {
-      shard->bind(decisions->inbox());
-      if (graphql) shard->serve(*graphql);
+    if (config.graphql.served()) graphql.emplace(config, load_schema(config), steady_now);
+    for (auto& thread : threads) {
+      thread->bind(decisions->inbox());
+      if (graphql) thread->shard().serve(*graphql);
     }
     acceptor = std::make_unique<Acceptor>(first.get_executor());
-    retry = std::make_unique<Timer>(first.get_executor());
+    retry = std::make_unique<SteadyTimer>(first.get_executor());
     const asio::ip::tcp::endpoint at(asio::ip::make_address(config.listen.at.host), config.listen.at.port);
     acceptor->open(at.protocol());
     acceptor->set_option(Acceptor::reuse_address(true));
@@ -58,9 +71,9 @@
   }
 
   void accept() {
-    auto& shard = *shards[next++ % shards.size()];
+    auto& thread = *threads[next++ % threads.size()];
     acceptor->async_accept(
-        shard.context().get_executor(), [this, &shard](boost::system::error_code error, Socket socket) {
+        thread.context().get_executor(), [this, &thread](boost::system::error_code error, Socket socket) {
           if (!acceptor->is_open()) return;
           if (error) {
             retry->expires_after(kAcceptPause);
@@ -69,11 +82,11 @@
           }
           if (metrics.clients->Value() >= static_cast<double>(config.listen.connections)) {
             metrics.connections_refused->Increment();
-          } else if (&shard == shards.front().get()) {
-            shard.serve(std::move(socket));
+          } else if (&thread == threads.front().get()) {
+            thread.serve(std::move(socket));
           } else {
             auto handed = std::make_shared<Socket>(std::move(socket));
-            asio::post(shard.context(), [&shard, handed] { shard.serve(std::move(*handed)); });
+            asio::post(thread.context(), [&thread, handed] { thread.serve(std::move(*handed)); });
           }
           accept();
         });
@@ -83,34 +96,34 @@
     if (std::exchange(stopping, true)) return;
     boost::system::error_code ignored;
     acceptor->close(ignored);
-    for (auto& shard : shards) asio::post(shard->context(), [&shard] { shard->stop_serving(); });
+    for (auto& thread : threads) asio::post(thread->context(), [&thread] { thread->shard().stop_serving(); });
     await_end(steady_now() + longest);
   }
 
   void await_end(Time until) {
     if ((metrics.open->Value() <= 0 && metrics.graphql_open->Value() <= 0) || steady_now() >= until) {
       decisions->stop();
-      for (auto& shard : shards) shard->context().stop();
+      for (auto& thread : threads) thread->context().stop();
       return;
     }
     retry->expires_after(5ms);
     retry->async_wait([this, until](boost::system::error_code) { await_end(until); });
   }
 
-  Config config;
-  Metrics metrics;
+  config::Config config;
+  path::Metrics metrics;
   router::Front front;
   trace::Tracer tracer;
-  std::optional<Graphql> graphql;
-  std::vector<std::unique_ptr<Shard>> shards;
+  std::optional<path::Graphql> graphql;
+  std::vector<std::unique_ptr<Thread>> threads;
   std::unique_ptr<Decisions> decisions;
   std::unique_ptr<Acceptor> acceptor;
-  std::unique_ptr<Timer> retry;
+  std::unique_ptr<SteadyTimer> retry;
   std::size_t next = 0;
   bool stopping = false;
 };
 
-Server::Server(Config config) {
+Server::Server(config::Config config) {
   raise_file_limit();
   parts_ = std::make_unique<Parts>(std::move(config));
 }
@@ -119,29 +132,29 @@
 std::uint16_t Server::port() const { return parts_->acceptor->local_endpoint().port(); }
 
 void Server::stop(Time longest) {
-  asio::post(parts_->shards.front()->context(), [this, longest] { parts_->stop(longest); });
+  asio::post(parts_->threads.front()->context(), [this, longest] { parts_->stop(longest); });
 }
 
 void Server::run(const std::function<void()>& ready, Time longest) {
   auto& parts = *parts_;
-  auto& first = parts.shards.front()->context();
+  auto& first = parts.threads.front()->context();
   asio::signal_set signals(first, SIGINT, SIGTERM);
   signals.async_wait([&](boost::system::error_code error, int) {
     if (!error) parts.stop(longest);
   });
   parts.decisions->on_ready(ready);
-  std::vector<Shard*> all;
-  for (auto& shard : parts.shards) all.push_back(shard.get());
+  std::vector<Thread*> all;
+  for (auto& thread : parts.threads) all.push_back(thread.get());
   parts.decisions->start(all);
   parts.accept();
-  std::vector<std::thread> threads;
-  for (std::size_t i = 1; i < parts.shards.size(); ++i)
-    threads.emplace_back([&shard = *parts.shards[i]] {
-      const auto guard = asio::make_work_guard(shard.context());
-      shard.context().run();
+  std::vector<std::thread> running;
+  for (std::size_t i = 1; i < parts.threads.size(); ++i)
+    running.emplace_back([&thread = *parts.threads[i]] {
+      const auto guard = asio::make_work_guard(thread.context());
+      thread.context().run();
     });
   first.run();
-  for (auto& thread : threads) thread.join();
+  for (auto& thread : running) thread.join();
 }
 
 }  // namespace heronwell::daemon
--- a/src/daemon/server.hpp
+++ b/src/daemon/server.hpp
@@ -4,15 +4,20 @@
 #include <functional>
 #include <memory>
 
-#include "daemon/config.hpp"
+#include "config/config.hpp"
+#include "graphql/binding.hpp"
 
 namespace heronwell::daemon {
 
+// Reads and binds the schema that the configuration names. Throws yaml::Error, "FILE:LINE:COLUMN: what" a
+// line.
+std::unique_ptr<graphql::Bound> load_schema(const config::Config& config);
+
 class Server {
  public:
   // Binds the port; throws std::system_error where it can't, std::invalid_argument naming a senseless
   // setting.
-  explicit Server(Config config);
+  explicit Server(config::Config config);
   ~Server();
   [[nodiscard]] std::uint16_t port() const;
 
--- /dev/null
+++ b/src/daemon/thread.cpp
@@ -0,0 +1,171 @@
+#include "daemon/thread.hpp"
+
+#include <sodium.h>
+#include <spdlog/spdlog.h>
+#include <sys/socket.h>
+
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/post.hpp>
+#include <random>
+
+namespace heronwell::daemon {
+namespace {
+
+constexpr std::size_t kMostPieces = 16;  // in one write
+
+class SocketWire final : public path::Wire, public std::enable_shared_from_this<SocketWire> {
+ public:
+  SocketWire(Socket socket, std::span<char> scratch) : socket_(std::move(socket)), scratch_(scratch) {}
+
+  void ready() {
+    boost::system::error_code ignored;
+    socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+    socket_.non_blocking(true, ignored);
+  }
+  void connect(const config::Address& address) {
+    boost::system::error_code error;
+    const auto host = asio::ip::make_address(address.host, error);
+    if (error) return asio::post(socket_.get_executor(), [self = shared_from_this()] { self->over(true); });
+    socket_.async_connect({host, address.port},
+                          [self = shared_from_this()](boost::system::error_code failed) {
+                            if (failed) return self->over(true);
+                            self->ready();
+                            if (const auto user = self->user()) user->connected();
+                          });
+  }
+
+  void attach(std::weak_ptr<path::WireUser> user) override { user_ = std::move(user); }
+
+  std::optional<std::size_t> write(std::span<const std::string_view> pieces) override {
+    std::array<asio::const_buffer, kMostPieces> buffers;
+    const auto count = std::min(pieces.size(), kMostPieces);
+    for (std::size_t i = 0; i < count; ++i) buffers[i] = asio::buffer(pieces[i]);
+    boost::system::error_code error;
+    const auto bytes = socket_.write_some(std::span(buffers).first(count), error);
+    if (error == asio::error::would_block) return bytes;
+    if (error) return std::nullopt;
+    return bytes;
+  }
+
+  void await_room() override {
+    socket_.async_wait(Socket::wait_write, [self = shared_from_this()](boost::system::error_code error) {
+      const auto user = self->user();
+      if (!user) return;
+      if (error) return user->over(true);
+      user->writable();
+    });
+  }
+
+  void read(bool on) override {
+    reading_ = on;
+    if (!on || waiting_) return;
+    waiting_ = true;
+    socket_.async_wait(Socket::wait_read, [self = shared_from_this()](boost::system::error_code error) {
+      self->waiting_ = false;
+      if (error) return self->over(true);
+      self->take();
+    });
+  }
+
+  bool quiet() override {
+    char peek = 0;
+    const auto got = ::recv(socket_.native_handle(), &peek, 1, MSG_PEEK | MSG_DONTWAIT);
+    return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  }
+
+  void shut() override {
+    boost::system::error_code ignored;
+    socket_.shutdown(Socket::shutdown_send, ignored);
+  }
+
+  void close(bool reset) override {
+    user_.reset();
+    reading_ = false;
+    boost::system::error_code ignored;
+    if (reset)
+      socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    else
+      socket_.shutdown(Socket::shutdown_both, ignored);
+    socket_.close(ignored);
+  }
+
+ private:
+  std::shared_ptr<path::WireUser> user() const { return user_.lock(); }
+  void over(bool broken) {
+    reading_ = false;
+    if (const auto user = this->user()) user->over(broken);
+  }
+  void take() {
+    if (!reading_) return;
+    const auto user = this->user();
+    if (!user) return;
+    boost::system::error_code error;
+    const auto got = socket_.read_some(asio::buffer(scratch_.data(), scratch_.size()), error);
+    if (error && error != asio::error::would_block) return over(error != asio::error::eof);
+    if (got > 0) user->received({scratch_.data(), got});
+    if (reading_) read(true);
+  }
+
+  Socket socket_;
+  std::span<char> scratch_;
+  std::weak_ptr<path::WireUser> user_;
+  bool reading_ = false, waiting_ = false;
+};
+
+class AsioTimer final : public path::Timer {
+ public:
+  AsioTimer(Executor executor, std::function<void()> then)
+      : timer_(executor), then_(std::make_shared<std::function<void()>>(std::move(then))) {}
+  void set(Time moment) override {
+    timer_.expires_at(at(moment));
+    timer_.async_wait([weak = std::weak_ptr(then_)](boost::system::error_code error) {
+      const auto then = weak.lock();  // gone with its timer
+      if (!error && then) (*then)();
+    });
+  }
+  void cancel() override { timer_.cancel(); }
+
+ private:
+  SteadyTimer timer_;
+  std::shared_ptr<std::function<void()>> then_;
+};
+
+}  // namespace
+
+Thread::Thread(const config::Config& config, path::Metrics& metrics, const router::Front& front,
+               trace::Tracer& tracer, unsigned index)
+    : random_(pcg_extras::seed_seq_from<std::random_device>()),
+      shard_(*this, config, metrics, front, tracer, index, config.threads),
+      orders_(context_.get_executor(),
+              [this](std::vector<path::Order>& orders) { shard_.carry_out(orders); }) {
+  if (sodium_init() < 0) throw std::runtime_error("libsodium can't start");
+}
+
+void Thread::serve(Socket socket) {
+  boost::system::error_code error;
+  const auto peer = socket.remote_endpoint(error);
+  auto wire = std::make_shared<SocketWire>(std::move(socket), scratch_);
+  wire->ready();
+  const bool asked = shard_.selectors() != nullptr && !error;
+  shard_.serve(std::move(wire), asked ? peer.address().to_string() : std::string());
+}
+
+void Thread::draw(std::span<unsigned char> bytes) { randombytes_buf(bytes.data(), bytes.size()); }
+
+path::WirePtr Thread::dial(const config::Address& address) {
+  auto wire = std::make_shared<SocketWire>(Socket(context_.get_executor()), scratch_);
+  wire->connect(address);
+  return wire;
+}
+
+path::TimerPtr Thread::timer(std::function<void()> then) {
+  return std::make_unique<AsioTimer>(context_.get_executor(), std::move(then));
+}
+
+void Thread::defer(std::function<void()> then) { asio::post(context_, std::move(then)); }
+
+void Thread::log(path::Level level, std::string line) {
+  spdlog::log(level == path::Level::warn ? spdlog::level::warn : spdlog::level::info, line);
+}
+
+}  // namespace heronwell::daemon
--- /dev/null
+++ b/src/daemon/thread.hpp
@@ -0,0 +1,46 @@
+// What a shard (src/path) lives on: one io_context with the thread that runs it, sockets as wires, the steady
+// clock, and mailboxes from and to the decision strand. Nothing is decided here.
+#pragma once
+
+#include <array>
+#include <functional>
+#include <pcg_random.hpp>
+
+#include "daemon/clock.hpp"
+#include "daemon/mailbox.hpp"
+#include "path/shard.hpp"
+
+namespace heronwell::daemon {
+
+using Inbox = Mailbox<path::Told, Executor>;
+
+class Thread final : public path::World {
+ public:
+  Thread(const config::Config& config, path::Metrics& metrics, const router::Front& front,
+         trace::Tracer& tracer, unsigned index);
+
+  asio::io_context& context() { return context_; }
+  path::Shard& shard() { return shard_; }
+  Mailbox<path::Order, Executor>& orders() { return orders_; }
+  void bind(Inbox& inbox) { inbox_ = &inbox; }
+  void serve(Socket socket);  // on the thread itself
+
+  [[nodiscard]] Time now() override { return steady_now(); }
+  std::uint64_t drawn() override { return random_(); }
+  void draw(std::span<unsigned char> bytes) override;
+  path::WirePtr dial(const config::Address& address) override;
+  path::TimerPtr timer(std::function<void()> then) override;
+  void defer(std::function<void()> then) override;
+  void tell(path::Told what) override { inbox_->put(std::move(what)); }
+  void log(path::Level level, std::string line) override;
+
+ private:
+  asio::io_context context_{1};
+  pcg64 random_;
+  Inbox* inbox_ = nullptr;
+  std::array<char, 16 << 10> scratch_{};  // what is read passes through here
+  path::Shard shard_;
+  Mailbox<path::Order, Executor> orders_;
+};
+
+}  // namespace heronwell::daemon
--- a/src/daemon/client.cpp
+++ b/src/path/client.cpp
@@ -1,115 +1,111 @@
-#include "daemon/client.hpp"
+#include "path/client.hpp"
 
-#include <sys/socket.h>
+#include <algorithm>
+#include <array>
+#include <utility>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/post.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
+#include "path/graphql.hpp"
+#include "path/tracing.hpp"
 
-#include "daemon/graphql.hpp"
-#include "daemon/tracing.hpp"
-
-namespace heronwell::daemon {
+namespace heronwell::path {
 namespace {
 
-constexpr std::size_t kReadBytes = 4 << 10;
 constexpr Time kLinger = std::chrono::seconds(1);
 constexpr std::size_t kMostBuffers = 16;  // in one write
-constexpr auto kToken = asio::use_awaitable_t<Executor>{};
 
 }  // namespace
 
-ClientConnection::ClientConnection(Shard& shard, Socket socket)
+ClientConnection::ClientConnection(Shard& shard, std::uint64_t number, WirePtr wire, std::string address)
     : shard_(shard),
-      socket_(std::move(socket)),
-      resume_(socket_.get_executor()),
-      parser_(http::Role::request, shard.config().listen.limits) {
-  shard_.clients().insert(this);
+      number_(number),
+      wire_(std::move(wire)),
+      parser_(http::Role::request, shard.config().listen.limits),
+      address_(std::move(address)) {
   shard_.metrics().connections->Increment();
   shard_.metrics().clients->Increment();
-  active_ = progress_ = steady_now();
+  active_ = progress_ = shard_.now();
 }
 
-ClientConnection::~ClientConnection() {
-  shard_.clients().erase(this);
-  shard_.metrics().clients->Decrement();
-}
+ClientConnection::~ClientConnection() { shard_.metrics().clients->Decrement(); }
 
 void ClientConnection::start() {
-  boost::system::error_code ignored;
-  socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
-  socket_.non_blocking(true, ignored);
-  const auto peer = socket_.remote_endpoint(ignored);
-  if (shard_.selectors() && !ignored) address_ = peer.address().to_string();
-  asio::co_spawn(
-      socket_.get_executor(), [self = shared_from_this()] { return self->read(); }, asio::detached);
+  wire_->attach(weak_from_this());
+  wire_->read(true);
 }
 
-asio::awaitable<void, Executor> ClientConnection::read() {
-  std::string buffer;  // what is not yet parsed; let go while idle, so that idle connections are small
-  boost::system::error_code error;
-  while (!closed_ && !lingering_) {
-    if (exchanges_.size() >= shard_.config().listen.pipeline) {
-      resume_.expires_at(Timer::time_point::max());
-      co_await resume_.async_wait(asio::redirect_error(kToken, error));
-      continue;
-    }
-    if (!buffer.empty()) {
-      const auto used = parse(buffer);
-      buffer.erase(0, used);
-      if (reading_done_ || closed_ || lingering_) break;
-      if (!buffer.empty()) continue;  // the pipeline is full
-    }
-    if (parser_.between_messages() && exchanges_.empty()) {
-      std::string().swap(buffer);
-      std::string().swap(body_);
-      co_await socket_.async_wait(Socket::wait_read, asio::redirect_error(kToken, error));
-      if (error) break;
-    }
-    buffer.resize(kReadBytes);
-    const auto got =
-        co_await socket_.async_read_some(asio::buffer(buffer), asio::redirect_error(kToken, error));
-    buffer.resize(got);
-    if (error) break;
+bool ClientConnection::full() const { return exchanges_.size() >= shard_.config().listen.pipeline; }
+
+void ClientConnection::received(std::string_view bytes) {
+  if (state_ != Door::reading) return;  // nothing more is read, but the peer's going is still of interest
+  if (in_.empty()) {
+    const auto used = parse(bytes);
+    if (state_ == Door::reading) in_.assign(bytes.substr(used));
+  } else {
+    in_ += bytes;
+    in_.erase(0, parse(in_));
+  }
+  if (state_ != Door::reading) {
+    std::string().swap(in_);
+  } else if (full()) {
+    held_ = true;
+    wire_->read(false);
+  } else if (parser_.between_messages() && exchanges_.empty()) {
+    std::string().swap(body_);  // idle connections are small
+    if (in_.empty()) std::string().swap(in_);
   }
-  if (closed_) co_return;
-  if (!reading_done_ && !lingering_) co_return hang_up(false);
-  // Nothing more is read, but the peer's going is still of interest while an answer is awaited or written.
-  char sink[512];
-  while (!closed_) {
-    co_await socket_.async_read_some(asio::buffer(sink), asio::redirect_error(kToken, error));
-    if (error) break;
+}
+
+// Reads on where the pipeline was full.
+void ClientConnection::read_on() {
+  if (!held_ || state_ == Door::closed) return;
+  if (state_ == Door::reading && full()) return;
+  held_ = false;
+  if (state_ == Door::reading && !in_.empty()) {
+    in_.erase(0, parse(in_));
+    if (state_ == Door::reading && full()) {
+      held_ = true;
+      return;
+    }
   }
-  if (!closed_) hang_up(lingering_);
+  if (state_ != Door::closed) wire_->read(true);
+}
+
+void ClientConnection::over(bool broken) { hang_up(broken || state_ == Door::lingering); }
+
+void ClientConnection::writable() {
+  awaiting_room_ = false;
+  pump();
 }
 
 // The client's end is gone, or half gone: what was not answered yet is dropped, what was is still written.
 void ClientConnection::hang_up(bool unwritable) {
-  if (closed_) return;
-  reading_done_ = last_ = true;
-  bool owed = false;
+  if (closed()) return;
+  const bool owed = std::ranges::any_of(exchanges_, [](const auto& e) { return !e->done(); });
+  give_up_owed();
+  if (owed || unwritable || out_.empty()) return close(DoorEvent::lost);
+  step(state_, DoorEvent::last_answer);
+  wire_->read(false);  // its end has been read
+}
+
+// What was not answered yet: no answer can reach its client any more.
+void ClientConnection::give_up_owed() {
   const auto waiting = exchanges_;
   for (const auto& exchange : waiting)
-    if (!exchange->done) {
-      owed = true;
+    if (!exchange->done()) {
       if (exchange->ticket != 0) shard_.left(exchange);
       if (exchange->asker) std::exchange(exchange->asker, nullptr)->abandoned();
     }
-  if (owed || unwritable || out_.empty()) close();
 }
 
 std::size_t ClientConnection::parse(std::string_view in) {
   std::size_t used = 0;
-  while (!reading_done_ && !closed_ && exchanges_.size() < shard_.config().listen.pipeline) {
-    if (parser_.between_messages()) head_since_ = steady_now();
-    const auto step = parser_.next(in.substr(used));
-    used += step.consumed;
+  while (state_ == Door::reading && !full()) {
+    if (parser_.between_messages()) head_since_ = shard_.now();
+    const auto read = parser_.next(in.substr(used));
+    used += read.consumed;
     using Event = http::Parser::Event;
-    if (step.event == Event::need_more) break;
-    if (step.event == Event::head) {
+    if (read.event == Event::need_more) break;
+    if (read.event == Event::head) {
       body_.clear();
       // Answered only where no earlier answer is awaited: interim answers keep the order too.
       if (parser_.expects_continue() && exchanges_.empty() && parser_.content_length().value_or(1) > 0) {
@@ -117,18 +113,18 @@
         out_bytes_ += out_.back().size();
         pump();
       }
-    } else if (step.event == Event::body) {
-      body_.append(step.body);
-    } else if (step.event == Event::end) {
-      active_ = steady_now();
+    } else if (read.event == Event::body) {
+      body_.append(read.body);
+    } else if (read.event == Event::end) {
+      active_ = shard_.now();
       dispatch();
     } else {
       auto exchange = std::make_shared<Exchange>();
       exchange->client = shared_from_this();
       exchange->keep_alive = false;
-      exchange->began = steady_now();
+      exchange->began = shard_.now();
       exchanges_.push_back(exchange);
-      reading_done_ = true;
+      step(state_, DoorEvent::last_request);
       router::Problem problem;
       problem.status = parser_.status();
       problem.detail = parser_.reason();
@@ -145,7 +141,7 @@
   exchange->keep_alive = parser_.keep_alive() && !shard_.stopping();
   exchange->head_only = parser_.method() == "HEAD";
   exchanges_.push_back(exchange);
-  if (!exchange->keep_alive) reading_done_ = true;
+  if (!exchange->keep_alive) step(state_, DoorEvent::last_request);
   const auto target = parser_.target().substr(0, parser_.target().find('?'));
   const bool get = parser_.method() == "GET" || exchange->head_only;
   if (target == "/metrics" && get)
@@ -187,7 +183,7 @@
 
 void ClientConnection::whole(const ExchangePtr& exchange, int status, std::string_view type, std::string body,
                              const std::vector<http::Field>& more) {
-  if (exchange->done) return;
+  if (exchange->done()) return;
   std::string head;
   if (exchange->trace_response.empty()) {
     http::put_response(head, status, type, body.size(), exchange->keep_alive, more);
@@ -201,7 +197,6 @@
     head += body;
     body.clear();
   }
-  exchange->started = true;
   put(exchange, std::move(head));
   if (!body.empty()) put(exchange, std::move(body));
   end(exchange);
@@ -212,7 +207,7 @@
   std::vector<http::Field> more;
   if (!exchange->trace_response.empty()) more.push_back({"traceresponse", exchange->trace_response});
   http::put_response(head, 200, "application/json", std::nullopt, exchange->keep_alive, more);
-  exchange->started = exchange->streaming = true;
+  step(exchange->reply, ReplyEvent::begin);
   put(exchange, std::move(head));
 }
 
@@ -226,13 +221,13 @@
 }
 
 void ClientConnection::end(const ExchangePtr& exchange) {
-  if (exchange->streaming && !exchange->head_only) put(exchange, std::string(http::kLastChunk));
-  exchange->done = true;
+  if (exchange->streaming() && !exchange->head_only) put(exchange, std::string(http::kLastChunk));
+  step(exchange->reply, ReplyEvent::finish);
   advance();
 }
 
 void ClientConnection::put(const ExchangePtr& exchange, std::string bytes) {
-  if (closed_ || exchange->done) return;
+  if (closed() || exchange->done()) return;
   if (exchanges_.empty() || exchanges_.front() != exchange) {
     exchange->buffered += bytes;
     return;
@@ -244,19 +239,22 @@
 
 // Lets the next answers in turn out.
 void ClientConnection::advance() {
-  const bool full = exchanges_.size() >= shard_.config().listen.pipeline;
-  while (!exchanges_.empty() && exchanges_.front()->done) {
-    if (!exchanges_.front()->keep_alive) last_ = true;
+  while (!exchanges_.empty() && exchanges_.front()->done()) {
+    const bool last = !exchanges_.front()->keep_alive;
     exchanges_.pop_front();
-    if (last_ || exchanges_.empty()) break;
+    if (last) step(state_, DoorEvent::last_answer);
+    if (last || exchanges_.empty()) break;
     auto& next = exchanges_.front();
     if (next->buffered.empty()) continue;
     out_bytes_ += next->buffered.size();
     out_.push_back(std::move(next->buffered));
     next->buffered.clear();
   }
-  active_ = steady_now();
-  if (full) resume_.cancel();
+  active_ = shard_.now();
+  if (held_)
+    shard_.world().defer([weak = weak_from_this()] {
+      if (auto self = weak.lock()) self->read_on();
+    });
   pump();
 }
 
@@ -265,28 +263,26 @@
 }
 
 void ClientConnection::pump() {
-  if (writing_ || closed_) return;
+  if (awaiting_room_ || closed()) return;
   while (!out_.empty()) {
-    std::vector<asio::const_buffer> buffers;
-    for (std::size_t i = 0; i < std::min(out_.size(), kMostBuffers); ++i)
-      buffers.push_back(i == 0 ? asio::buffer(out_[0]) + out_done_ : asio::buffer(out_[i]));
-    boost::system::error_code error;
-    const auto bytes = socket_.write_some(buffers, error);
-    if (error == asio::error::would_block) {
-      writing_ = true;
-      return socket_.async_wait(Socket::wait_write,
-                                [self = shared_from_this()](boost::system::error_code failed) {
-                                  self->writing_ = false;
-                                  if (failed) return self->hang_up(true);
-                                  self->pump();
-                                });
+    std::array<std::string_view, kMostBuffers> pieces;
+    const auto count = std::min(out_.size(), kMostBuffers);
+    for (std::size_t i = 0; i < count; ++i) pieces[i] = out_[i];
+    pieces[0].remove_prefix(out_done_);
+    const auto bytes = wire_->write({pieces.data(), count});
+    if (!bytes)
+      return shard_.world().defer([weak = weak_from_this()] {
+        if (auto self = weak.lock()) self->hang_up(true);
+      });
+    if (*bytes == 0) {
+      awaiting_room_ = true;
+      return wire_->await_room();
     }
-    if (error)
-      return asio::post(socket_.get_executor(), [self = shared_from_this()] { self->hang_up(true); });
-    wrote(bytes);
+    wrote(*bytes);
   }
   drain();
-  if (!closed_ && last_ && out_.empty() && (exchanges_.empty() || exchanges_.front()->done)) linger();
+  if (state_ == Door::flushing && out_.empty() && (exchanges_.empty() || exchanges_.front()->done()))
+    linger();
 }
 
 void ClientConnection::drain() {
@@ -295,15 +291,13 @@
 
 // Closes in two steps: a reset for input that nobody reads could overtake the last answer.
 void ClientConnection::linger() {
-  if (std::exchange(lingering_, true)) return;
-  active_ = steady_now();
-  boost::system::error_code ignored;
-  socket_.shutdown(Socket::shutdown_send, ignored);
-  resume_.cancel();
+  step(state_, DoorEvent::flushed);
+  active_ = shard_.now();
+  wire_->shut();
 }
 
 void ClientConnection::wrote(std::size_t bytes) {
-  progress_ = steady_now();
+  progress_ = shard_.now();
   out_bytes_ -= bytes;
   while (bytes > 0) {
     const auto left = out_.front().size() - out_done_;
@@ -319,28 +313,23 @@
 }
 
 void ClientConnection::break_off() {
-  const auto waiting = exchanges_;
-  for (const auto& exchange : waiting)
-    if (!exchange->done) {  // no answer can reach its client any more
-      if (exchange->ticket != 0) shard_.left(exchange);
-      if (exchange->asker) std::exchange(exchange->asker, nullptr)->abandoned();
-    }
-  close(true);
+  give_up_owed();
+  close(DoorEvent::lost, true);
 }
 
 void ClientConnection::abandon() {
   for (const auto& exchange : exchanges_) exchange->asker = nullptr;  // which refers to its exchange
-  close(true);
+  close(DoorEvent::leave, true);
 }
 
 void ClientConnection::sweep(Time now) {
   const auto& listen = shard_.config().listen;
-  if (lingering_) {
-    if (now > active_ + kLinger) close();
+  if (state_ == Door::lingering) {
+    if (now > active_ + kLinger) close(DoorEvent::leave);
     return;
   }
   if (!out_.empty()) {
-    if (now > progress_ + listen.stall_time) hang_up(true), close(true);  // reads nothing
+    if (now > progress_ + listen.stall_time) hang_up(true);  // reads nothing
     return;
   }
   if (!exchanges_.empty()) return;
@@ -349,32 +338,28 @@
     exchange->client = shared_from_this();
     exchange->keep_alive = false;
     exchanges_.push_back(exchange);
-    reading_done_ = true;
+    step(state_, DoorEvent::last_request);
     router::Problem problem;
     problem.status = 408;
     problem.detail = "the head did not come in header_time";
     return reject(exchange, problem);
   }
   if (now > std::max(active_, parser_.between_messages() ? Time::zero() : head_since_) + listen.idle_time)
-    close();
+    close(DoorEvent::leave);
 }
 
 void ClientConnection::stop() {
-  if (exchanges_.empty() && out_.empty() && parser_.between_messages()) close();
+  if (exchanges_.empty() && out_.empty() && parser_.between_messages()) close(DoorEvent::leave);
 }
 
-void ClientConnection::close(bool reset) {
-  if (std::exchange(closed_, true)) return;
-  boost::system::error_code ignored;
-  if (reset) {
-    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
-  } else {
-    socket_.shutdown(Socket::shutdown_both, ignored);
-  }
-  socket_.close(ignored);
-  resume_.cancel();
+void ClientConnection::close(DoorEvent why, bool reset) {
+  if (closed()) return;
+  const auto self = shared_from_this();
+  step(state_, why);
+  wire_->close(reset);
   exchanges_.clear();
   drained_.clear();
+  shard_.forget(number_);
 }
 
-}  // namespace heronwell::daemon
+}  // namespace heronwell::path
--- a/src/daemon/client.hpp
+++ b/src/path/client.hpp
@@ -1,22 +1,21 @@
-// One client connection: reads requests, keeps their order, writes answers. A coroutine reads on while
-// answers are awaited, so that a client that hangs up is noticed at once.
+// One client connection: reads requests, keeps their order, writes answers. It reads on while answers are
+// awaited, so that a client that hangs up is noticed at once. Its states are Door's (path/states.hpp).
 #pragma once
 
-#include <boost/asio/awaitable.hpp>
 #include <deque>
 #include <functional>
 #include <memory>
 #include <string>
 
-#include "daemon/shard.hpp"
 #include "http/message.hpp"
+#include "path/shard.hpp"
 
-namespace heronwell::daemon {
+namespace heronwell::path {
 
-class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
+class ClientConnection final : public std::enable_shared_from_this<ClientConnection>, public WireUser {
  public:
-  ClientConnection(Shard& shard, Socket socket);
-  ~ClientConnection();
+  ClientConnection(Shard& shard, std::uint64_t number, WirePtr wire, std::string address);
+  ~ClientConnection() override;
 
   void start();
   // Final answers; each exchange gets exactly one of whole(), or begin() pieces end().
@@ -25,8 +24,8 @@
   void begin(const ExchangePtr& exchange);                    // 200, chunked JSON
   void piece(const ExchangePtr& exchange, std::string body);  // empty ones are passed over
   void end(const ExchangePtr& exchange);
-  void
-  break_off();  // what has begun must not look complete: the connection is reset, its other requests given up
+  // What has begun must not look complete: the connection is reset, its other requests given up.
+  void break_off();
   void abandon();  // the process ends
 
   // Bytes of the exchange's answer that wait to be written.
@@ -35,10 +34,16 @@
 
   void sweep(Time now);  // closes what passed its time
   void stop();           // closes once nothing is owed
-  [[nodiscard]] bool closed() const { return closed_; }
+  [[nodiscard]] bool closed() const { return state_ == Door::closed; }
+  [[nodiscard]] Door state() const { return state_; }
+
+  void received(std::string_view bytes) override;
+  void writable() override;
+  void over(bool broken) override;
 
  private:
-  asio::awaitable<void, Executor> read();
+  [[nodiscard]] bool full() const;
+  void read_on();
   std::size_t parse(std::string_view in);
   void dispatch();
   void reject(const ExchangePtr& exchange, const router::Problem& problem);
@@ -47,21 +52,23 @@
   void pump();
   void wrote(std::size_t bytes);
   void hang_up(bool unwritable);
+  void give_up_owed();
   void drain();
   void linger();
-  void close(bool reset = false);
+  void close(DoorEvent why, bool reset = false);
 
   Shard& shard_;
-  Socket socket_;
-  Timer resume_;  // wakes the reader once the pipeline has room
+  std::uint64_t number_;
+  WirePtr wire_;
   http::Parser parser_;
-  std::string body_, address_;  // address: of the client, where groups are on
+  std::string in_, body_, address_;  // in: not yet parsed; address: of the client, where groups are on
   std::deque<ExchangePtr> exchanges_;
   std::deque<std::string> out_;
   std::size_t out_bytes_ = 0, out_done_ = 0;  // done: of the first buffer
   std::vector<std::function<void()>> drained_;
   Time head_since_{}, active_{}, progress_{};
-  bool writing_ = false, closed_ = false, last_ = false, reading_done_ = false, lingering_ = false;
+  Door state_ = Door::reading;
+  bool awaiting_room_ = false, held_ = false;  // held: the pipeline is full, nothing is read
 };
 
-}  // namespace heronwell::daemon
+}  // namespace heronwell::path
--- /dev/null
+++ b/src/path/engine.hpp
@@ -0,0 +1,91 @@
+// One connection to an engine, and the cancel request that goes out on a connection of its own. Their states
+// are Link's (path/states.hpp): a connection is used again only after ReadyForQuery, and never after a
+// cancel.
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "path/shard.hpp"
+#include "sql/session.hpp"
+
+namespace heronwell::path {
+
+class EngineConnection final : public std::enable_shared_from_this<EngineConnection>,
+                               public WireUser,
+                               private sql::SessionEvents {
+ public:
+  EngineConnection(Shard& shard, const EnginePool& pool, std::uint64_t number);
+  ~EngineConnection() override;
+
+  void dial(AttemptPtr attempt);         // opens it for this attempt
+  bool send(const AttemptPtr& attempt);  // idle only; false: it was found closed before a byte was written
+  void stop(const AttemptPtr& attempt);  // cancels at the engine, or drops it while dialling
+  void stream();                         // the attempt's answer may begin
+  void leave();                          // closes it; an attempt on it is not told of
+  [[nodiscard]] Time idle_since() const { return idle_since_; }
+  [[nodiscard]] Link state() const { return state_; }
+
+  void connected() override;
+  void received(std::string_view bytes) override;
+  void writable() override;
+  void over(bool broken) override;
+
+ private:
+  void feed();
+  void dialled();
+  void lost();
+  void end(sql::Seen seen, std::string_view code = {});
+  bool flush();            // false: nothing can be written any more
+  void limit(Time after);  // one timer: for the dial, then for the end after a cancel
+  void forward();
+  void pause();
+  void pause_if_full();
+  void too_long();
+  void resume();
+  void close(LinkEvent why);
+
+  void on_columns(const std::vector<sql::Column>& columns) override;
+  void on_row(sql::RowReader row) override;
+  void on_complete(std::string_view tag) override;
+  void on_error(const sql::ErrorText& error) override;
+  void on_notice(const sql::ErrorText& notice) override;
+  void on_parameter(std::string_view name, std::string_view value) override;
+  void on_statement_end() override;
+
+  Shard& shard_;
+  EngineId engine_;
+  std::uint64_t number_;
+  config::Address address_;
+  WirePtr wire_;
+  TimerPtr timer_;
+  sql::Session session_;
+  Link state_ = Link::dialling;
+  AttemptPtr attempt_;
+  std::string in_, out_;  // not yet parsed; not yet written
+  bool awaiting_room_ = false, paused_ = false, malformed_ = false;
+  std::string error_code_;  // of the statement
+  Time idle_since_{};
+};
+
+// On a connection of its own, as the protocol has it; the engine closes it once it has heard.
+class CancelRequest final : public std::enable_shared_from_this<CancelRequest>, public WireUser {
+ public:
+  CancelRequest(Shard& shard, std::uint64_t number, std::uint32_t process, std::uint32_t secret);
+  void dial(const config::Address& address);
+  void close();
+
+  void connected() override;
+  void received(std::string_view bytes) override;
+  void writable() override;
+  void over(bool broken) override;
+
+ private:
+  Shard& shard_;
+  std::uint64_t number_;
+  std::string out_;
+  WirePtr wire_;
+  TimerPtr timer_;
+};
+
+}  // namespace heronwell::path
--- a/src/daemon/graphql.cpp
+++ b/src/path/graphql.cpp
@@ -1,21 +1,18 @@
-#include "daemon/graphql.hpp"
+#include "path/graphql.hpp"
 
 #include <fmt/format.h>
-#include <sodium.h>
-#include <spdlog/spdlog.h>
 #include <xxhash.h>
 
 #include <algorithm>
 #include <array>
 #include <charconv>
-#include <fstream>
-#include <iterator>
+#include <sstream>
 
-#include "daemon/client.hpp"
-#include "daemon/page.hpp"
-#include "daemon/tracing.hpp"
+#include "path/client.hpp"
+#include "path/page.hpp"
+#include "path/tracing.hpp"
 
-namespace heronwell::daemon {
+namespace heronwell::path {
 namespace {
 
 using namespace std::chrono_literals;
@@ -25,9 +22,9 @@
 std::string error_body(const std::string& message, std::string_view code) {
   return graphql::request_errors({{"", message, {}}}, code);
 }
-std::string drawn_key() {
+std::string drawn_key(World& world) {
   std::array<unsigned char, 16> bytes{};
-  randombytes_buf(bytes.data(), bytes.size());
+  world.draw(bytes);
   std::string out;
   for (const auto byte : bytes) out += fmt::format("{:02x}", byte);
   return out;
@@ -56,20 +53,14 @@
 
 }  // namespace
 
-std::unique_ptr<graphql::Bound> load_schema(const Config& config) {
-  auto text = config.graphql.sdl;
-  const auto name = text.empty() ? config.graphql.schema : std::string("graphql.sdl");
-  if (text.empty()) {
-    std::ifstream file(name, std::ios::binary);
-    text.assign(std::istreambuf_iterator<char>(file), {});
-    if (!file) throw yaml::Error(name + ":1:1: cannot be read");
-  }
+std::unique_ptr<graphql::Bound> bind_schema(const Config& config, std::string_view text,
+                                            const std::string& name) {
   std::vector<graphql::ClassFacts> classes;
   for (const auto& one : config.module.classes)
     classes.push_back({one.name, one.effect == Effect::safe,
                        one.effect == Effect::keyed && one.group == RepeatGroup::all, one.aim});
   try {
-    return std::make_unique<graphql::Bound>(text, std::move(classes));
+    return std::make_unique<graphql::Bound>(std::string(text), std::move(classes));
   } catch (const graphql::SchemaError& error) {
     std::string all;
     std::istringstream lines(error.what());
@@ -78,14 +69,14 @@
   }
 }
 
-Graphql::Graphql(const Config& config)
+Graphql::Graphql(const Config& config, std::unique_ptr<graphql::Bound> bound, graphql::Clock now)
     : config_(config.graphql),
+      now_(std::move(now)),
       tenants_(router::tenant_names(config.module)),
-      bound_(load_schema(config)),
+      bound_(std::move(bound)),
       documents_(std::make_unique<graphql::Documents>(bound_->schema(), config.graphql.limits,
-                                                      config.graphql.documents, steady_now)),
+                                                      config.graphql.documents, now_)),
       keys_(config.graphql.key_window, config.graphql.keys, config.graphql.key_bytes) {
-  if (sodium_init() < 0) throw std::runtime_error("libsodium can't start");
   headers_ = bound_->headers();
   headers_.emplace_back("idempotency-key");
 }
@@ -98,11 +89,11 @@
 
 graphql::Keys::Found Graphql::key_begin(const std::string& key, std::uint64_t fingerprint) {
   const std::lock_guard lock(mutex_);
-  return keys_.begin(steady_now(), key, fingerprint);
+  return keys_.begin(now_(), key, fingerprint);
 }
 void Graphql::key_done(const std::string& key, std::string answer) {
   const std::lock_guard lock(mutex_);
-  keys_.done(steady_now(), key, std::move(answer));
+  keys_.done(now_(), key, std::move(answer));
 }
 void Graphql::key_forget(const std::string& key) {
   const std::lock_guard lock(mutex_);
@@ -148,7 +139,7 @@
   bool fresh = false;
   slot.prepared = documents.get(text, &fresh);
   if (auto* trail = client_->trail.get(); trail != nullptr && fresh) {
-    const auto now = steady_now();
+    const auto now = shard_.now();
     const auto parsed = now - slot.prepared->validating;
     trail->add("parse", client_->span, parsed - slot.prepared->parsing, parsed);
     trail->add("validate", client_->span, parsed, now);
@@ -187,7 +178,7 @@
   asked.hash = [](const std::string& value) { return XXH64(value.data(), value.size(), 0); };
   if (mutation) {
     if (!take_key(slot, operation, *definition)) return;
-    asked.idempotency_key = slot.key.empty() ? drawn_key() : slot.key;
+    asked.idempotency_key = slot.key.empty() ? drawn_key(shard_.world()) : slot.key;
   }
   if (client_->origin) {
     slot.origin = std::make_shared<Origin>(*client_->origin);
@@ -197,13 +188,13 @@
         slot.origin->root_fields.emplace_back(selection.name);
   }
   slot.executed = true;
-  const auto planning = steady_now();
+  const auto planning = shard_.now();
   slot.execution = std::make_unique<graphql::Execution>(graphql_.bound(), prepared.document, *definition,
                                                         std::move(asked), graphql_.config().bounds);
   std::vector<graphql::Call> out;
-  slot.execution->start(steady_now(), out);
+  slot.execution->start(shard_.now(), out);
   for (auto& call : out) calls_.emplace_back(number, std::move(call));
-  if (client_->trail) client_->trail->add("plan", client_->span, planning, steady_now());
+  if (client_->trail) client_->trail->add("plan", client_->span, planning, shard_.now());
 }
 
 // False: answered already, or it may not run.
@@ -267,7 +258,7 @@
     for (auto& [slot, call] : std::exchange(calls_, {})) send(slot, std::move(call));
     for (auto& one : std::exchange(ended_, {})) {
       std::vector<graphql::Call> out;
-      slots_[one.slot].execution->ended(steady_now(), one.call, std::move(one.reply), out);
+      slots_[one.slot].execution->ended(shard_.now(), one.call, std::move(one.reply), out);
       for (auto& call : out) calls_.emplace_back(one.slot, std::move(call));
     }
   }
@@ -283,7 +274,7 @@
   exchange->asker = shared_from_this();
   exchange->call = call.id << 16 | slot;
   exchange->statement_number = number;
-  exchange->began = steady_now();
+  exchange->began = shard_.now();
   exchange->origin = slots_[slot].origin;
   if (client_->trail) {
     exchange->trail = client_->trail;
@@ -393,9 +384,12 @@
       ->Increment();
   const auto& log = shard_.config().log.requests;
   if (log == "all" || (log == "problems" && errors))
-    spdlog::info(R"({{"event":"graphql","gateway":{},"status":{},"ms":{:.3f},"statements":{},"errors":{}}})",
-                 quoted(shard_.config().name), status, milliseconds(steady_now() - client_->began), numbers_,
-                 errors);
+    shard_.world().log(
+        Level::info,
+        fmt::format(
+            R"({{"event":"graphql","gateway":{},"status":{},"ms":{:.3f},"statements":{},"errors":{}}})",
+            quoted(shard_.config().name), status, milliseconds(shard_.now() - client_->began), numbers_,
+            errors));
   std::vector<http::Field> more;
   const auto pause = std::to_string(router::retry_after_seconds(pause_));
   if (pause_ > Time::zero()) more.push_back({"retry-after", pause});
@@ -464,4 +458,4 @@
       ->start();
 }
 
-}  // namespace heronwell::daemon
+}  // namespace heronwell::path
--- a/src/daemon/graphql.hpp
+++ b/src/path/graphql.hpp
@@ -9,19 +9,18 @@
 #include <string>
 #include <vector>
 
-#include "daemon/shard.hpp"
 #include "graphql/documents.hpp"
 #include "graphql/execute.hpp"
 #include "graphql/keys.hpp"
 #include "graphql/over_http.hpp"
+#include "path/shard.hpp"
 
-namespace heronwell::daemon {
+namespace heronwell::path {
 
 // What all shards share.
 class Graphql {
  public:
-  // Throws yaml::Error, "FILE:LINE:COLUMN: what" a line, where the schema is wrong.
-  explicit Graphql(const Config& config);
+  Graphql(const Config& config, std::unique_ptr<graphql::Bound> bound, graphql::Clock now);
 
   [[nodiscard]] const Config::Graphql& config() const { return config_; }
   [[nodiscard]] const graphql::Bound& bound() const { return *bound_; }
@@ -37,6 +36,7 @@
 
  private:
   const Config::Graphql& config_;
+  graphql::Clock now_;
   std::vector<std::string> tenants_, headers_;
   std::unique_ptr<graphql::Bound> bound_;
   std::unique_ptr<graphql::Documents> documents_;
@@ -44,8 +44,9 @@
   graphql::Keys keys_;
 };
 
-// Reads the schema that the configuration names. Throws yaml::Error.
-std::unique_ptr<graphql::Bound> load_schema(const Config& config);
+// `name`: for errors. Throws yaml::Error, "NAME:LINE:COLUMN: what" a line, where the schema is wrong.
+std::unique_ptr<graphql::Bound> bind_schema(const Config& config, std::string_view text,
+                                            const std::string& name);
 
 // What a request to the module that was not served is to the field that asked. `client_key`: the client named
 // an idempotency key, so that its own repeat of a keyed statement will carry it again.
@@ -106,4 +107,4 @@
 void serve_graphql(Shard& shard, Graphql& graphql, const ExchangePtr& exchange, const http::Parser& request,
                    std::string_view body);
 
-}  // namespace heronwell::daemon
+}  // namespace heronwell::path
--- a/src/daemon/grouping.cpp
+++ b/src/path/grouping.cpp
@@ -1,6 +1,6 @@
-#include "daemon/grouping.hpp"
+#include "path/grouping.hpp"
 
-namespace heronwell::daemon {
+namespace heronwell::path {
 
 Origin origin_of(const http::Parser& request, const groups::Selectors& selectors, std::string address) {
   Origin origin;
@@ -37,4 +37,4 @@
   return d;
 }
 
-}  // namespace heronwell::daemon
+}  // namespace heronwell::path
--- a/src/daemon/grouping.hpp
+++ b/src/path/grouping.hpp
@@ -9,7 +9,7 @@
 #include "groups/selector.hpp"
 #include "http/message.hpp"
 
-namespace heronwell::daemon {
+namespace heronwell::path {
 
 // The header field that holds a client's tags, between commas.
 inline constexpr std::string_view kTagsField = "heronwell-tags";
@@ -27,4 +27,4 @@
 groups::Described described(const Origin& origin, std::string cls, std::string tenant,
                             std::string_view statement);
 
-}  // namespace heronwell::daemon
+}  // namespace heronwell::path
--- a/src/daemon/metrics.cpp
+++ b/src/path/metrics.cpp
@@ -1,8 +1,8 @@
-#include "daemon/metrics.hpp"
+#include "path/metrics.hpp"
 
 #include <prometheus/text_serializer.h>
 
-namespace heronwell::daemon {
+namespace heronwell::path {
 
 Metrics::Metrics(const std::vector<std::string>& names) {
   using prometheus::BuildCounter;
@@ -148,4 +148,4 @@
 
 std::string Metrics::text() const { return prometheus::TextSerializer().Serialize(registry_.Collect()); }
 
-}  // namespace heronwell::daemon
+}  // namespace heronwell::path
--- a/src/daemon/metrics.hpp
+++ b/src/path/metrics.hpp
@@ -14,7 +14,7 @@
 
 #include "groups/shares.hpp"
 
-namespace heronwell::daemon {
+namespace heronwell::path {
 
 class Metrics {
  public:
@@ -62,4 +62,4 @@
   std::string groups_json_;
 };
 
-}  // namespace heronwell::daemon
+}  // namespace heronwell::path
--- a/src/daemon/page.hpp
+++ b/src/path/page.hpp
@@ -3,7 +3,7 @@
 
 #include <string_view>
 
-namespace heronwell::daemon {
+namespace heronwell::path {
 
 inline constexpr std::string_view kQueryPage = R"html(<!doctype html>
 <html lang="en"><meta charset="utf-8"><title>heronwell</title>
@@ -45,4 +45,4 @@
 </script></html>
 )html";
 
-}  // namespace heronwell::daemon
+}  // namespace heronwell::path
--- a/src/daemon/shard.cpp
+++ b/src/path/shard.cpp
@@ -1,18 +1,16 @@
-#include "daemon/shard.hpp"
+#include "path/shard.hpp"
 
 #include <fmt/format.h>
-#include <spdlog/spdlog.h>
 
 #include <algorithm>
-#include <boost/asio/ip/address.hpp>
+#include <array>
 #include <charconv>
-#include <random>
 
-#include "daemon/client.hpp"
-#include "daemon/engine.hpp"
-#include "daemon/tracing.hpp"
+#include "path/client.hpp"
+#include "path/engine.hpp"
+#include "path/tracing.hpp"
 
-namespace heronwell::daemon {
+namespace heronwell::path {
 namespace {
 
 using namespace std::chrono_literals;
@@ -48,75 +46,80 @@
 
 }  // namespace
 
-Shard::Shard(const Config& config, Metrics& metrics, const router::Front& front, trace::Tracer& tracer,
-             unsigned index, unsigned shards)
-    : config_(config),
+Shard::Shard(World& world, const Config& config, Metrics& metrics, const router::Front& front,
+             trace::Tracer& tracer, unsigned index, unsigned shards)
+    : world_(world),
+      config_(config),
       metrics_(metrics),
       front_(front),
       tracer_(tracer),
-      random_(pcg_extras::seed_seq_from<std::random_device>()),
       index_(index),
       pool_cap_(std::max<std::size_t>(1, config.engines.connections / shards)),
-      orders_(context_.get_executor(), [this](std::vector<Order>& orders) { carry_out(orders); }),
       tenants_(router::tenant_names(config.module)),
-      sweeper_(context_.get_executor()),
-      turn_(steady_now()) {
+      turn_(now()) {
   if (config.groups) selectors_ = std::make_shared<const groups::Selectors>(config.groups->selectors);
-  tick();
+  sweeper_ = world_.timer([this] { tick(); });
+  sweeper_->set(turn_ + kTick);
 }
 
 Shard::~Shard() {
   // Connections first: their handlers refer to the maps below.
-  for (auto* client : std::vector(clients_.begin(), clients_.end())) client->abandon();
+  for (const auto& [number, client] : std::map(clients_)) client->abandon();
   attempts_.clear();
   exchanges_.clear();
   for (auto& [id, pool] : pools_)
-    for (auto* connection : std::vector(pool.all.begin(), pool.all.end())) connection->close();
+    for (const auto& [number, connection] : std::map(pool.all)) connection->leave();
+  for (const auto& [number, cancel] : std::map(cancels_)) cancel->close();
 }
 
-void Shard::serve(Socket socket) { std::make_shared<ClientConnection>(*this, std::move(socket))->start(); }
+void Shard::serve(WirePtr wire, std::string address) {
+  const auto number = this->number();
+  auto client = std::make_shared<ClientConnection>(*this, number, std::move(wire), std::move(address));
+  clients_.emplace(number, client);
+  client->start();
+}
+
+Shard::Books Shard::books() const {
+  Books books{clients_.size(), exchanges_.size(), attempts_.size(), 0, 0, cancels_.size()};
+  for (const auto& [id, pool] : pools_) books.links += pool.all.size(), books.idle += pool.idle.size();
+  return books;
+}
 
 void Shard::tick() {
-  sweeper_.expires_after(kTick);
-  sweeper_.async_wait([this](boost::system::error_code error) {
-    if (error) return;
-    (void)unread_since();
-    if (++ticks_ % kTicksASweep == 0) sweep();
-    tick();
-  });
+  (void)unread_since();
+  if (++ticks_ % kTicksASweep == 0) sweep();
+  sweeper_->set(now() + kTick);
 }
 
 void Shard::sweep() {
-  const auto now = steady_now();
-  for (auto* client : std::vector(clients_.begin(), clients_.end())) {
+  const auto now = this->now();
+  for (const auto& [number, client] : std::map(clients_)) {
     client->sweep(now);
     if (stopping_) client->stop();
   }
   for (auto& [id, pool] : pools_)
     for (const auto& connection : std::vector(pool.idle))
-      if (now > connection->idle_since() + config_.engines.idle_close) connection->close();
+      if (now > connection->idle_since() + config_.engines.idle_close) connection->leave();
   std::erase_if(pools_, [](const auto& one) { return !one.second.fit && one.second.all.empty(); });
 }
 
 Time Shard::unread_since() {
-  const auto now = steady_now();
+  const auto now = this->now();
   const auto last = std::exchange(turn_, now);
   if (now > last + kAbsence && now > suspect_until_) suspect_from_ = last;
   if (now > last + kAbsence) suspect_until_ = now + kBacklog;
   return now < suspect_until_ ? suspect_from_ : now;
 }
 
-std::uint64_t Shard::drawn() { return random_(); }
-
 void Shard::stop_serving() { stopping_ = true; }
 
 // ---- requests ------------------------------------------------------------------------------------------
 void Shard::take(const ExchangePtr& exchange, router::Ask ask) {
   exchange->cls = ask.asked.cls;
-  exchange->held_since = steady_now();
+  exchange->held_since = now();
   exchange->tenant = ask.asked.tenant;
   exchange->deadline = exchange->began + ask.asked.time_left;
-  ask.asked.time_left = std::max(Time::zero(), exchange->deadline - steady_now());
+  ask.asked.time_left = std::max(Time::zero(), exchange->deadline - now());
   if (!choose_group(exchange, ask)) return;
   const bool turned_off = stopping_ && exchange->client;  // what was taken before goes on to its end
   if (turned_off ||
@@ -161,7 +164,7 @@
 
 void Shard::left(const ExchangePtr& exchange) {
   metrics_.classes[exchange->cls].left->Increment();
-  finished(exchange, {'C', exchange->streaming ? 'D' : exchange->attempts > 0 ? 'A' : 'H'}, 0);
+  finished(exchange, {'C', exchange->streaming() ? 'D' : exchange->attempts > 0 ? 'A' : 'H'}, 0);
   tell(Left{exchange->ticket});
   forget(exchange);
 }
@@ -177,7 +180,7 @@
 
 void Shard::finished(const ExchangePtr& exchange, router::Termination end, int status) {
   trace_end(*this, *exchange, end, status);
-  const auto took = steady_now() - exchange->began;
+  const auto took = now() - exchange->began;
   const bool good = end.who == 'S' || end.who == 'E';
   if (good) metrics_.classes[exchange->cls].seconds->Observe(std::chrono::duration<double>(took).count());
   if (config_.log.requests == "none" || (config_.log.requests == "problems" && good)) return;
@@ -186,10 +189,12 @@
   if (!exchange->group.empty()) group = ",\"group\":" + quoted(exchange->group);
   if (exchange->limit != groups::Limit::none)
     group += fmt::format(",\"limit\":\"{}\"", groups::name_of(exchange->limit));
-  spdlog::info(
-      R"({{"event":"request","gateway":{},"ticket":{},"class":{},"end":"{}","status":{},"ms":{:.3f},"attempts":{},"engine":{}{}}})",
-      quoted(config_.name), exchange->ticket, quoted(exchange->ticket == 0 ? "" : cls.name), end.text(),
-      status, milliseconds(took), exchange->attempts, exchange->engine, group);
+  world_.log(
+      Level::info,
+      fmt::format(
+          R"({{"event":"request","gateway":{},"ticket":{},"class":{},"end":"{}","status":{},"ms":{:.3f},"attempts":{},"engine":{}{}}})",
+          quoted(config_.name), exchange->ticket, quoted(exchange->ticket == 0 ? "" : cls.name), end.text(),
+          status, milliseconds(took), exchange->attempts, exchange->engine, group));
 }
 
 // ---- attempts ------------------------------------------------------------------------------------------
@@ -218,17 +223,15 @@
 
 void Shard::update(const Fleet& fleet) {
   for (const auto& [id, known] : fleet) {
-    boost::system::error_code error;
-    const auto host = asio::ip::make_address(known.entry.host, error);
     auto& pool = pools_[id];
-    const asio::ip::tcp::endpoint address(host, known.entry.port);
-    const bool fit = !error && known.entry.state == EngineState::ready;
+    config::Address address{known.entry.host, known.entry.port};
+    const bool fit = known.entry.state == EngineState::ready;
     const bool moved = pool.address != address;
     pool.id = id;
     pool.fit = fit;
-    pool.address = address;
+    pool.address = std::move(address);
     if (fit && !moved) continue;
-    for (const auto& connection : std::vector(pool.idle)) connection->close();
+    for (const auto& connection : std::vector(pool.idle)) connection->leave();
   }
   for (auto& [id, pool] : pools_)
     if (!fleet.contains(id)) pool.fit = false;
@@ -269,24 +272,24 @@
 void Shard::on(const router::ProbeEngine& order) {
   auto attempt = std::make_shared<Attempt>();
   attempt->engine = order.engine;
-  attempt->until = steady_now() + config_.engines.probe_timeout;
+  attempt->until = now() + config_.engines.probe_timeout;
   attempt->statement =
       std::make_shared<const sql::Statement>(sql::Statement{config_.engines.probe_statement});
   launch(attempt);
-  if (attempt->reported) return;
-  auto timer = std::make_shared<Timer>(context_.get_executor(), at(attempt->until));
-  timer->async_wait([this, timer, attempt](boost::system::error_code) {
-    if (attempt->reported) return;
-    end_attempt(attempt, sql::Seen::until_passed);
-    attempt->stopped = true;
-    if (auto connection = attempt->connection.lock()) connection->stop(attempt);
+  if (attempt->state == Try::ended) return;
+  attempt->limit = world_.timer([this, weak = std::weak_ptr(attempt)] {
+    const auto late = weak.lock();
+    if (!late || late->state == Try::ended) return;
+    end_attempt(late, sql::Seen::until_passed);
+    if (auto connection = late->connection.lock()) connection->stop(late);
   });
+  attempt->limit->set(attempt->until);
 }
 
 // A connection that waits for work is taken, the newest first; one found closed before a byte was written
 // costs the attempt nothing.
 void Shard::launch(const AttemptPtr& attempt) {
-  attempt->started = steady_now();
+  attempt->started = now();
   auto* pool = this->pool(attempt->engine);
   if (pool == nullptr || !pool->fit) return end_attempt(attempt, sql::Seen::not_written);
   while (!pool->idle.empty()) {
@@ -296,30 +299,41 @@
     metrics_.redials->Increment();
   }
   if (pool->all.size() >= pool_cap_) return end_attempt(attempt, sql::Seen::pool_full);
-  std::make_shared<EngineConnection>(*this, *pool)->dial(attempt);
+  const auto number = this->number();
+  const auto connection = std::make_shared<EngineConnection>(*this, *pool, number);
+  pool->all.emplace(number, connection);
+  connection->dial(attempt);
 }
 
 void Shard::on(const router::StopAttempt& order) {
   const auto found = attempts_.find({order.ticket, order.attempt});
   if (found == attempts_.end()) return;
   const auto attempt = found->second;
-  attempt->stopped = true;
+  if (!step(attempt->state, TryEvent::stop)) return;
   if (auto connection = attempt->connection.lock()) connection->stop(attempt);
 }
 
+void Shard::request_cancel(const config::Address& address, std::uint32_t process, std::uint32_t secret) {
+  const auto number = this->number();
+  const auto cancel = std::make_shared<CancelRequest>(*this, number, process, secret);
+  cancels_.emplace(number, cancel);
+  cancel->dial(address);
+}
+
 void Shard::end_attempt(const AttemptPtr& attempt, sql::Seen seen, std::string_view code, bool cancelled) {
-  if (std::exchange(attempt->reported, true)) return;
+  const bool called_off = attempt->state == Try::called_off;
+  if (attempt->state == Try::ended || !step(attempt->state, TryEvent::end)) return;
   const auto verdict = sql::judge(seen, code, config_.engines.never_began, cancelled);
   if (attempt->ticket == 0)
     return tell(Probed{attempt->engine, verdict.client_gets_error ? Result::error : verdict.result,
-                       steady_now() - attempt->started, std::move(attempt->load)});
+                       now() - attempt->started, std::move(attempt->load)});
   metrics_.attempts[static_cast<std::size_t>(verdict.result)]->Increment();
-  trace_attempt(*attempt, verdict.result, code);
+  trace_attempt(now(), *attempt, verdict.result, code, called_off);
   if (!verdict.client_gets_error) attempt->content.sqlstate.clear(), attempt->content.error.clear();
   if (verdict.result == Result::served && attempt->exchange)
     attempt->exchange->contents[attempt->number] = std::move(attempt->content);
   attempts_.erase({attempt->ticket, attempt->number});
-  tell(router::AttemptEnd{attempt->ticket, attempt->number, verdict.result, steady_now(), attempt->work,
+  tell(router::AttemptEnd{attempt->ticket, attempt->number, verdict.result, now(), attempt->work,
                           attempt->memory_mb, std::move(attempt->load)});
 }
 
@@ -360,11 +374,11 @@
   forget(exchange);
   const bool error = !content.sqlstate.empty();
   auto& counts = metrics_.classes[exchange->cls];
-  if (exchange->streaming) {
+  if (exchange->streaming()) {
     (error ? counts.broken : counts.served)->Increment();
     finished(exchange, {error ? 'E' : 'S', 'D'}, 200);
     if (!error) return exchange->client->end(exchange);
-    exchange->done = true;
+    step(exchange->reply, ReplyEvent::finish);
     return exchange->client->break_off();
   }
   (error ? counts.error : counts.served)->Increment();
@@ -392,8 +406,8 @@
   metrics_.classes[exchange->cls].broken->Increment();
   finished(exchange, {'X', 'D'}, 200);
   forget(exchange);
-  if (exchange->streaming) {
-    exchange->done = true;
+  if (exchange->streaming()) {
+    step(exchange->reply, ReplyEvent::finish);
     return exchange->client->break_off();
   }
   router::Problem problem;  // not a byte went out: it can still be told
@@ -433,4 +447,4 @@
                           more);
 }
 
-}  // namespace heronwell::daemon
+}  // namespace heronwell::path
--- /dev/null
+++ b/src/path/shard.hpp
@@ -0,0 +1,118 @@
+// A shard is what one thread serves: client connections and engine connections. A request lives on the shard
+// that read it, and so do the attempts made for it: its answer crosses no thread. Only events and commands go
+// to and from the decision strand, by the World.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "path/exchange.hpp"
+#include "path/metrics.hpp"
+#include "trace/tracer.hpp"
+
+namespace heronwell::path {
+
+class Graphql;
+class CancelRequest;
+
+// Connections to one engine from one shard: idle ones are used again, newest first; no more than a cap.
+struct EnginePool {
+  EngineId id = 0;
+  config::Address address;
+  bool fit = true;  // listed as ready
+  std::vector<std::shared_ptr<EngineConnection>> idle;
+  std::map<std::uint64_t, std::shared_ptr<EngineConnection>> all;  // by number
+};
+
+class Shard {
+ public:
+  Shard(World& world, const Config& config, Metrics& metrics, const router::Front& front,
+        trace::Tracer& tracer, unsigned index, unsigned shards);
+  ~Shard();
+
+  void serve(Graphql& graphql) { graphql_ = &graphql; }
+
+  // A client has come; `address`: from where, for the choice of a group.
+  void serve(WirePtr wire, std::string address);
+  void carry_out(std::vector<Order>& orders);
+  void take(const ExchangePtr& exchange, router::Ask ask);  // hands a request to the decision strand
+  void left(const ExchangePtr& exchange);
+  void finished(const ExchangePtr& exchange, router::Termination end, int status);
+  void tell(Happening what) { world_.tell(Told{now(), std::move(what)}); }
+  void end_attempt(const AttemptPtr& attempt, sql::Seen seen, std::string_view code = {},
+                   bool cancelled = false);
+  void note(const AttemptPtr& attempt, const sql::ErrorText& notice);
+  void parameter(const AttemptPtr& attempt, std::string_view name, std::string_view value);
+  // The moment since when what is read now may have lain here unread: now, or, right after this thread had no
+  // turn for a while (a stopped process), the last moment it had one. Deadlines run from there.
+  Time unread_since();
+  // Null: there are no groups.
+  [[nodiscard]] const SelectorsPtr& selectors() const { return selectors_; }
+  void stop_serving();  // no new requests; connections close as they fall idle
+
+  World& world() { return world_; }
+  [[nodiscard]] Time now() const { return world_.now(); }
+  [[nodiscard]] const Config& config() const { return config_; }
+  [[nodiscard]] const router::Front& front() const { return front_; }
+  Metrics& metrics() { return metrics_; }
+  trace::Tracer& tracer() { return tracer_; }
+  Graphql* graphql() { return graphql_; }  // null: not served
+  EnginePool* pool(EngineId id);
+  [[nodiscard]] std::size_t pool_cap() const { return pool_cap_; }
+  [[nodiscard]] bool stopping() const { return stopping_; }
+  [[nodiscard]] std::size_t open() const { return exchanges_.size(); }
+  void forget(std::uint64_t client) { clients_.erase(client); }
+  void forget_cancel(std::uint64_t number) { cancels_.erase(number); }
+  // A cancel request to the engine at `address`, for the connection that it knows by these.
+  void request_cancel(const config::Address& address, std::uint32_t process, std::uint32_t secret);
+  std::uint64_t number() { return ++numbers_; }  // of a connection
+
+  // For the explorer: everything that is remembered here.
+  struct Books {
+    std::size_t clients = 0, exchanges = 0, attempts = 0, links = 0, idle = 0, cancels = 0;
+  };
+  [[nodiscard]] Books books() const;
+
+ private:
+  void on(const router::StartAttempt& order);
+  void on(const router::StopAttempt& order);
+  void on(const router::Deliver& order);
+  void on(const router::BeginStream& order);
+  void on(const router::BreakStream& order);
+  void on(const router::Answer& order);
+  void on(const router::ProbeEngine& order);
+  void update(const Fleet& fleet);
+  bool choose_group(const ExchangePtr& exchange, router::Ask& ask);
+  void launch(const AttemptPtr& attempt);
+  ExchangePtr exchange(Ticket ticket);
+  void forget(const ExchangePtr& exchange);
+  void tell_problem(const ExchangePtr& exchange, const router::Problem& problem);
+  void tick();
+  void sweep();
+
+  World& world_;
+  const Config& config_;
+  Metrics& metrics_;
+  const router::Front& front_;
+  trace::Tracer& tracer_;
+  unsigned index_;
+  std::size_t pool_cap_;
+  Graphql* graphql_ = nullptr;
+  SelectorsPtr selectors_;
+  std::vector<std::string> tenants_;
+  TimerPtr sweeper_;
+  std::uint64_t tickets_ = 0, numbers_ = 0;
+  bool stopping_ = false;
+  unsigned ticks_ = 0;
+  Time turn_{}, suspect_from_{}, suspect_until_{};
+  std::unordered_map<Ticket, ExchangePtr> exchanges_;
+  std::map<std::pair<Ticket, AttemptIndex>, AttemptPtr> attempts_;
+  std::map<EngineId, EnginePool> pools_;
+  std::map<std::uint64_t, std::shared_ptr<ClientConnection>> clients_;  // by number
+  std::map<std::uint64_t, std::shared_ptr<CancelRequest>> cancels_;
+};
+
+}  // namespace heronwell::path
--- /dev/null
+++ b/src/path/strand.hpp
@@ -0,0 +1,69 @@
+// The decision strand: gathers what shards, list and peers tell, hands it to the host in one call a tick, and
+// spreads the commands over the shards. A tick is all that has come since the last one; it begins as soon as
+// something has. One thread; no sockets, no clock.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "path/exchange.hpp"
+#include "path/metrics.hpp"
+
+namespace heronwell::path {
+
+// What the strand needs of the world outside.
+class StrandWorld {
+ public:
+  virtual ~StrandWorld() = default;
+  [[nodiscard]] virtual Time now() = 0;          // the shards' clock
+  [[nodiscard]] virtual Time unix_offset() = 0;  // Unix time less that clock, now
+  // Brings these to a shard, in order; leaves `orders` empty.
+  virtual void order(std::size_t shard, std::vector<Order>& orders) = 0;
+  virtual void tell_peers(const router::TellPeers& tell) = 0;
+  virtual void log(Level level, std::string line) = 0;
+};
+
+class Strand {
+ public:
+  // Throws std::invalid_argument naming a senseless setting.
+  Strand(StrandWorld& world, const Config& config, Metrics& metrics, std::uint64_t seed, std::size_t shards);
+
+  void read(const std::vector<Told>& told);
+  void run();
+  [[nodiscard]] Time next_due() const { return host_.next_due(); }  // when run() is, if nothing is told
+  // Calls `then` once, when the first list with a ready engine is in force.
+  void on_ready(std::function<void()> then) { ready_ = std::move(then); }
+
+  void measure();  // gauges and schedules; every half second or so
+  // What people see of the groups, made in pieces, so that a large tree holds up no decision. False: the
+  // last.
+  bool scan_groups();
+  void reload_groups(const std::string& text);  // wrong: logged, and nothing changes
+
+  [[nodiscard]] const router::Host& host() const { return host_; }
+
+ private:
+  void on(const Told& told);
+  void carry_out(router::Command& command);
+  void list(const Listed& listed);
+  void apply_schedules();
+
+  StrandWorld& world_;
+  const Config& config_;
+  Metrics& metrics_;
+  router::Host host_;
+  fleet::Book book_;
+  std::vector<std::vector<Order>> orders_;  // by shard, of this tick
+  std::vector<router::Command> commands_;
+  std::function<void()> ready_;
+  Time lag_{};
+  std::vector<std::string> schedules_in_force_;
+  groups::Shares::Number groups_next_ = 0;  // of the scan
+  std::string groups_json_;                 // of the scan, as far as it has come
+  std::optional<groups::Schedules> schedules_;
+};
+
+}  // namespace heronwell::path
--- a/src/daemon/tracing.cpp
+++ b/src/path/tracing.cpp
@@ -1,10 +1,10 @@
-#include "daemon/tracing.hpp"
+#include "path/tracing.hpp"
 
 #include <array>
 
 #include "http/message.hpp"
 
-namespace heronwell::daemon {
+namespace heronwell::path {
 namespace {
 
 constexpr std::array<const char*, 8> kResults{"served",        "error", "turned_away", "timed_out",
@@ -15,8 +15,8 @@
 
 void trace_begin(Shard& shard, Exchange& exchange, const http::Parser& request) {
   if (!shard.tracer().on()) return;
-  exchange.trail =
-      shard.tracer().begin(request.find("traceparent").value_or(""), shard.drawn(), shard.drawn());
+  exchange.trail = shard.tracer().begin(request.find("traceparent").value_or(""), shard.world().drawn(),
+                                        shard.world().drawn());
   if (!exchange.trail) return;
   exchange.span = exchange.trail->root;
   exchange.trace_response =
@@ -27,7 +27,7 @@
                   EngineId engine) {
   auto* trail = exchange.trail.get();
   if (trail == nullptr) return;
-  const auto now = steady_now();
+  const auto now = shard.now();
   trail->add("hold", exchange.span, exchange.held_since, now);
   exchange.held_since = now;
   auto* span = trail->add("choice", exchange.span, now, now);
@@ -43,11 +43,10 @@
   span->attributes.emplace_back("engines_in_use", Int{knew->engines_out});
 }
 
-void trace_attempt(const Attempt& attempt, Result result, std::string_view code) {
+void trace_attempt(Time now, const Attempt& attempt, Result result, std::string_view code, bool called_off) {
   auto* exchange = attempt.exchange.get();
   auto* trail = exchange == nullptr ? nullptr : exchange->trail.get();
   if (trail == nullptr) return;
-  const auto now = steady_now();
   exchange->held_since = now;
   const bool sent = attempt.sent > Time::zero();
   if (attempt.dialled || !sent) {
@@ -68,13 +67,13 @@
                       {"attempt", Int{attempt.number}},
                       {"result", std::string(kResults[static_cast<std::size_t>(result)])}};
   if (!code.empty()) span->attributes.emplace_back("sqlstate", std::string(code));
-  if (attempt.stopped) span->attributes.emplace_back("called_off", true);
+  if (called_off) span->attributes.emplace_back("called_off", true);
 }
 
 void trace_end(Shard& shard, Exchange& exchange, router::Termination end, int status) {
   const auto trail = std::exchange(exchange.trail, nullptr);
   if (!trail) return;
-  const auto now = steady_now();
+  const auto now = shard.now();
   const bool taken = exchange.ticket != 0;
   const auto& cls = shard.config().module.classes[exchange.cls];
   const bool good = end.who == 'S' || end.who == 'E' || end.who == 'B';
@@ -106,4 +105,4 @@
   if (!statement) shard.tracer().finish(trail);
 }
 
-}  // namespace heronwell::daemon
+}  // namespace heronwell::path
--- a/src/daemon/tracing.hpp
+++ b/src/path/tracing.hpp
@@ -8,15 +8,15 @@
 //     answer                      a streamed answer, from its first byte to its end
 #pragma once
 
-#include "daemon/shard.hpp"
+#include "path/shard.hpp"
 
-namespace heronwell::daemon {
+namespace heronwell::path {
 
 void trace_begin(Shard& shard, Exchange& exchange, const http::Parser& request);
 void trace_choice(const Shard& shard, Exchange& exchange, const std::optional<router::Knew>& knew,
                   EngineId engine);
-void trace_attempt(const Attempt& attempt, Result result, std::string_view code);
+void trace_attempt(Time now, const Attempt& attempt, Result result, std::string_view code, bool called_off);
 // The exchange is over: its trail is handed over, or, of a statement, gets its span.
 void trace_end(Shard& shard, Exchange& exchange, router::Termination end, int status);
 
-}  // namespace heronwell::daemon
+}  // namespace heronwell::path
--- a/tests/router/config_test.cpp
+++ b/tests/router/config_test.cpp
@@ -1,4 +1,4 @@
-#include "daemon/config.hpp"
+#include "config/config.hpp"
 
 #include <gtest/gtest.h>
 
@@ -6,6 +6,8 @@
 #include "fleet/list.hpp"
 
 namespace heronwell::daemon {
+using config::effective;
+using config::read_config;
 namespace {
 
 using namespace std::chrono_literals;
