--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -25,6 +25,7 @@
 
 #include "config/config.hpp"
 #include "daemon/server.hpp"
+#include "explore/search.hpp"
 #include "fleet/list.hpp"
 #include "rehearsal/audit.hpp"
 #include "rehearsal/day.hpp"
@@ -51,6 +52,70 @@
   if (!log.file.empty()) spdlog::flush_every(std::chrono::seconds(1));
 }
 
+// ---- explore -------------------------------------------------------------------------------------------
+int run_search(const std::vector<std::string>& names, const explore::Bounds& bounds, bool pairs,
+               const std::string& folder) {
+  std::vector<explore::Plan> plans;
+  for (const auto& name : names) {
+    const auto* plan = explore::world_named(name);
+    if (plan == nullptr)
+      throw yaml::Error("command line:1:1: world: expected a name of 'explore worlds', not \"" + name + "\"");
+    plans.push_back(*plan);
+  }
+  if (names.empty()) plans = explore::worlds();
+  bool broken = false;
+  std::map<explore::Pair, explore::Met> met;
+  std::cout << fmt::format("{:10} {:>9} {:>9} {:>6} {:>8} {:>10} {:>9}\n", "world", "states", "events",
+                           "depth", "seconds", "states/s", "left over");
+  for (const auto& plan : plans) {
+    const auto begun = std::chrono::steady_clock::now();
+    const auto found = explore::search(plan, bounds);
+    const std::chrono::duration<double> took = std::chrono::steady_clock::now() - begun;
+    std::cout << fmt::format("{:10} {:9} {:9} {:6} {:8.2f} {:10.0f} {:9}\n", plan.name, found.states,
+                             found.edges, found.depth, took.count(),
+                             static_cast<double>(found.states) / took.count(), found.unexplored)
+              << std::flush;
+    for (const auto& [pair, one] : found.met) met[pair].times += one.times, met[pair].to = one.to;
+    if (pairs)
+      for (const auto& outcome : found.outcomes) std::cout << "  in the end: " << outcome << "\n";
+    if (!found.story) continue;
+    broken = true;
+    std::vector<std::string> lines;
+    (void)explore::replay(plan, found.story->choices, lines);
+    std::cout << fmt::format("  broken: {}\n  {}\n", found.story->broken.property,
+                             found.story->broken.detail);
+    for (const auto& line : lines) std::cout << "  " << line << "\n";
+    if (folder.empty()) continue;
+    std::filesystem::create_directories(folder);
+    std::ofstream(folder + "/" + plan.name + ".yaml") << explore::write_story(*found.story, plan);
+  }
+  if (pairs)
+    for (const auto& [pair, one] : met)
+      std::cout << fmt::format("{:8} {:12} {:14} {:12} {:12}\n", std::get<0>(pair), std::get<1>(pair),
+                               std::get<2>(pair), one.to.empty() ? "(none)" : one.to, one.times);
+  return broken ? kFailed : kDone;
+}
+
+int replay_story(const std::string& file) {
+  std::ifstream stream(file, std::ios::binary);
+  std::string text{std::istreambuf_iterator<char>(stream), {}};
+  if (!stream) throw yaml::Error(file + ":1:1: cannot be read");
+  const auto story = explore::read_story(text, file);
+  const auto* plan = explore::world_named(story.world);
+  if (plan == nullptr) throw yaml::Error(file + ":1:1: world: there is none named \"" + story.world + "\"");
+  std::vector<std::string> lines;
+  const auto broken = explore::replay(*plan, story.choices, lines);
+  for (const auto& line : lines) std::cout << line << "\n";
+  std::cout << (broken ? "broken: " + broken->property + ": " + broken->detail : "nothing is broken")
+            << std::endl;
+  return broken ? kFailed : kDone;
+}
+
+int list_worlds() {
+  for (const auto& plan : explore::worlds()) std::cout << fmt::format("{:10} {}\n", plan.name, plan.about);
+  return kDone;
+}
+
 int serve(const config::Config& config) {
   open_log(config.log);
   daemon::Server server(config);
@@ -385,6 +450,29 @@
   explaining->add_option("--tag", asked.request.tags);
   explaining->add_option("--header", asked.headers, "name: value");
 
+  auto* exploring =
+      app.add_subcommand("explore", "Try every order of events in small worlds (docs/explore.md)");
+  exploring->require_subcommand(1);
+  std::vector<std::string> world_names;
+  explore::Bounds bounds;
+  bounds.threads = std::max(1U, std::thread::hardware_concurrency());
+  std::string story_file, stories;
+  bool no_fair = false, pairs = false;
+  auto* explore_run = exploring->add_subcommand("run", "Search named worlds, or all");
+  explore_run->add_option("world", world_names, "Names; see 'explore worlds'");
+  explore_run->add_option("--states", bounds.states, "States to visit at most, about")->capture_default_str();
+  explore_run->add_option("--depth", bounds.depth, "Events from the start at most")->capture_default_str();
+  explore_run->add_option("--threads", bounds.threads, "Threads");
+  explore_run->add_flag("--exact", bounds.exact, "Merge no states: the full tree");
+  explore_run->add_flag("--no-fair", no_fair, "Leave out that each state is left in the end");
+  explore_run->add_flag("--pairs", pairs, "Print the pairs of (state, event) that were met");
+  explore_run->add_option("--stories", stories, "Folder for counter-examples");
+  auto* explore_replay = exploring->add_subcommand("replay", "Play a counter-example again");
+  explore_replay->add_option("file", story_file)->required();
+  auto* explore_worlds = exploring->add_subcommand("worlds", "List the named worlds");
+  auto* explore_tables =
+      exploring->add_subcommand("tables", "Print the tables of states, as docs/path.md has them");
+
   app.add_subcommand("version", "Print the version");
 
   try {
@@ -416,6 +504,11 @@
     if (*load) return run_load(file, ports, start, record);
     if (*day_run) return run_day(file, folder);
     if (*auditing) return audit_day(folder);
+    bounds.fair = !no_fair;
+    if (*explore_run) return run_search(world_names, bounds, pairs, stories);
+    if (*explore_replay) return replay_story(story_file);
+    if (*explore_worlds) return list_worlds();
+    if (*explore_tables) return std::cout << explore::tables(), kDone;
     if (*explaining) return explain_group(config_file, std::move(asked));
     if (*grouping) return show_groups(host, groups_port, duration("every", every));
     if (*following) return follow(trace_id, trace_files);
--- /dev/null
+++ b/src/explore/search.hpp
@@ -0,0 +1,61 @@
+// Breadth-first search of a world: every order of its events, each state once, shortest stories first. Real
+// code has no copies to go back to, so a state is reached again by playing its choices from the start.
+#pragma once
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include "explore/world.hpp"
+
+namespace heronwell::explore {
+
+struct Bounds {
+  std::size_t states = 200'000;  // at most, about: a level is finished
+  std::size_t depth = 200;       // choices from the start
+  unsigned threads = 1;
+  bool exact = false;  // states by their whole history: nothing is merged
+  bool fair = true;    // from each new state, the fair way on must end well
+};
+
+struct Story {
+  std::string world;
+  Broken broken;
+  std::vector<Choice> choices;
+};
+
+using Pair = std::tuple<std::string, std::string, std::string>;  // machine, state, event
+struct Met {
+  std::uint64_t times = 0;
+  std::string to;  // empty: no line of the table
+};
+
+struct Found {
+  std::size_t states = 0, edges = 0, depth = 0, unexplored = 0;  // unexplored: states left at the bound
+  std::map<Pair, Met> met;
+  std::set<std::string> outcomes;  // of the fair ways on
+  std::optional<Story> story;      // the shortest
+};
+
+// The same for the same plan and bounds, whatever the number of threads.
+Found search(const Plan& plan, const Bounds& bounds);
+
+// Plays a story again, one line a choice; what broke, if it still does.
+std::optional<Broken> replay(const Plan& plan, const std::vector<Choice>& choices,
+                             std::vector<std::string>& lines);
+
+// A story as a file, YAML: the world, the property, and the choices with their texts as comments.
+std::string write_story(const Story& story, const Plan& plan);
+Story read_story(const std::string& text, const std::string& name);  // throws yaml::Error
+
+// The tables of path/states.hpp, as Markdown.
+std::string tables();
+
+const std::vector<Plan>& worlds();
+const Plan* world_named(std::string_view name);
+
+}  // namespace heronwell::explore
--- /dev/null
+++ b/src/explore/world.cpp
@@ -0,0 +1,1007 @@
+#include "explore/world.hpp"
+
+#include <fmt/format.h>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <array>
+#include <cstring>
+
+namespace heronwell::explore {
+namespace {
+
+using namespace std::chrono_literals;
+using path::Level;
+
+constexpr Time kLongestPass = 500ms;
+
+config::Config read(const Plan& plan) {
+  auto text = fmt::format(
+      R"yaml(gateway: {{name: gw0, seed: 5, threads: {}, of: 1, number: 0}}
+listen: {{port: 0{}}}
+list: {{file: none}}
+log: {{requests: none}}
+kinds: {{small: {{cores: 4, memory: 4GiB}}}}
+classes:
+  lookup: {{aim: 300ms, give_up: 1s}}
+  load: {{aim: 300ms, give_up: 1s, effect: unsafe}}
+  booking: {{aim: 300ms, give_up: 1s, effect: keyed}}
+)yaml",
+      plan.shards, plan.hold > 0 ? fmt::format(", hold: {}B", plan.hold) : "");
+  text += plan.settings.empty() ? "engines: {never_began: [\"53300\"], cancel_wait: 100ms}\n" : plan.settings;
+  return config::read_config(yaml::Section::text(text, plan.name));
+}
+
+void put(std::string& out, std::uint64_t value) {
+  std::array<char, sizeof value> bytes{};
+  std::memcpy(bytes.data(), &value, sizeof value);
+  out.append(bytes.data(), bytes.size());
+}
+void put(std::string& out, std::string_view text) {
+  put(out, text.size());
+  out += text;
+}
+void put(std::string& out, Time time) { put(out, static_cast<std::uint64_t>(time.count())); }
+void put(std::string& out, const Hash& hash) {
+  put(out, hash.high);
+  put(out, hash.low);
+}
+Hash hash_of(std::string_view bytes) {
+  const auto h = XXH3_128bits(bytes.data(), bytes.size());
+  return {h.high64, h.low64};
+}
+void mix(Hash& hash, std::string_view bytes) {
+  std::string all;
+  put(all, hash);
+  all += bytes;
+  hash = hash_of(all);
+}
+
+std::string encoded(const path::Told& told) {
+  std::string out;
+  put(out, told.at);
+  put(out, told.what.index());
+  std::visit(
+      [&out](const auto& what) {
+        using W = std::decay_t<decltype(what)>;
+        if constexpr (std::is_same_v<W, path::Took>) {
+          put(out, what.ask.ticket);
+          put(out, what.ask.asked.cls);
+          put(out, what.ask.asked.time_left);
+        } else if constexpr (std::is_same_v<W, path::Left>) {
+          put(out, what.ticket);
+        } else if constexpr (std::is_same_v<W, router::AttemptEnd>) {
+          put(out, what.ticket);
+          put(out, what.attempt);
+          put(out, static_cast<std::uint64_t>(what.result));
+          put(out, what.at);
+        } else if constexpr (std::is_same_v<W, path::Outgrown>) {
+          put(out, what.ticket);
+          put(out, what.attempt);
+        } else if constexpr (std::is_same_v<W, path::Probed>) {
+          put(out, what.engine);
+          put(out, static_cast<std::uint64_t>(what.result));
+          put(out, what.latency);
+        } else if constexpr (std::is_same_v<W, path::Listed>) {
+          for (const auto& entry : what.entries) put(out, static_cast<std::uint64_t>(entry.state));
+        }
+      },
+      told.what);
+  return out;
+}
+
+std::string encoded(const path::Order& order) {
+  std::string out;
+  put(out, order.index());
+  if (const auto* command = std::get_if<router::Command>(&order)) {
+    put(out, command->index());
+    std::visit(
+        [&out](const auto& c) {
+          if constexpr (requires { c.ticket; }) put(out, c.ticket);
+          if constexpr (requires { c.attempt; }) put(out, c.attempt);
+          if constexpr (requires { c.engine; }) put(out, c.engine);
+          if constexpr (requires { c.until; }) put(out, c.until);
+          if constexpr (requires { c.ending; }) put(out, static_cast<std::uint64_t>(c.ending));
+          if constexpr (requires { c.pause; }) put(out, c.pause);
+        },
+        *command);
+  } else if (const auto* fleet = std::get_if<std::shared_ptr<const path::Fleet>>(&order)) {
+    for (const auto& [id, known] : **fleet) put(out, static_cast<std::uint64_t>(known.entry.state));
+  }
+  return out;
+}
+
+std::string id_in(std::string_view statement) {
+  const auto at = statement.find("id=");
+  if (at == std::string_view::npos) return "";
+  const auto rest = statement.substr(at + 3);
+  return std::string(rest.substr(0, rest.find_first_of(" *")));
+}
+
+std::string engine_name(std::size_t engine) { return fmt::format("engine-{}", engine + 1); }
+
+}  // namespace
+
+Setting::Setting(const Plan& given)
+    : plan(given),
+      config(read(given)),
+      metrics(router::class_names(config.module)),
+      front(config.module),
+      tracer(config.trace, config.name, "", Time::zero()) {}
+
+// ---- wires ---------------------------------------------------------------------------------------------
+struct Sim::WireState final : path::Wire {
+  enum class To { client, engine };
+  Sim* sim = nullptr;
+  std::uint16_t id = 0, shard = 0, peer = 0, ordinal = 0;
+  To to = To::client;
+  std::weak_ptr<path::WireUser> user;
+  bool connecting = false, reading = false, closed = false, room_wanted = false;
+  std::string to_router;
+  std::optional<Time> arrived;      // since when bytes of it wait, where a stall has hit them
+  bool end = false, reset = false;  // on their way to the router, after what waits
+  bool seen = false;                // that it is known to the router's kernel
+  bool gone = false;                // its end was read
+  Session session;
+  Hash transcript;
+
+  void log(std::string_view what, std::string_view bytes = {}) {
+    std::string line;
+    put(line, sim->now_);
+    put(line, what);
+    line += bytes;
+    mix(transcript, line);
+  }
+  void attach(std::weak_ptr<path::WireUser> given) override { user = std::move(given); }
+  std::optional<std::size_t> write(std::span<const std::string_view> pieces) override {
+    if (closed || (seen && reset)) return std::nullopt;
+    std::string bytes;
+    for (const auto piece : pieces) bytes += piece;
+    log("write", bytes);
+    if (reset || end) return bytes.size();  // it crosses the end, and nobody reads it
+    if (to == To::client) {
+      sim->client_reads(*this, bytes);
+    } else {
+      session.in += bytes;
+      sim->engine_reads(*this);
+    }
+    return bytes.size();
+  }
+  void await_room() override { room_wanted = true; }
+  void read(bool on) override { reading = on; }
+  bool quiet() override { return !(seen && (end || reset || !to_router.empty())); }
+  void shut() override {
+    log("shut");
+    if (to == To::client) end = true, seen = true;  // its client closes in turn
+  }
+  void close(bool as_reset) override {
+    log(as_reset ? "reset" : "close");
+    closed = true;
+    user.reset();
+    sim->lost_wire(*this);
+  }
+};
+
+class SimTimer final : public path::Timer {
+ public:
+  explicit SimTimer(std::shared_ptr<Sim::TimerState> state) : state_(std::move(state)) {}
+  ~SimTimer() override { state_->alive = false; }
+  void set(Time moment) override { state_->due = moment; }
+  void cancel() override { state_->due = Time::max(); }
+
+ private:
+  std::shared_ptr<Sim::TimerState> state_;
+};
+
+class Sim::ShardWorld final : public path::World {
+ public:
+  ShardWorld(Sim& sim, std::uint16_t shard) : sim_(sim), shard_(shard) {}
+  Time now() override { return sim_.now_; }
+  std::uint64_t drawn() override { return ++sim_.drawn_; }
+  void draw(std::span<unsigned char> bytes) override {
+    ++sim_.drawn_;
+    for (auto& byte : bytes) byte = static_cast<unsigned char>(sim_.drawn_);
+  }
+  path::WirePtr dial(const config::Address& address) override {
+    return sim_.add_wire(shard_, true, static_cast<std::uint16_t>(address.port - 1));
+  }
+  path::TimerPtr timer(std::function<void()> then) override {
+    auto state = std::make_shared<TimerState>();
+    state->then = std::move(then);
+    state->sweeper = !built;
+    sim_.timers_.push_back(state);
+    return std::make_unique<SimTimer>(std::move(state));
+  }
+  void defer(std::function<void()> then) override { sim_.deferred_.push_back(std::move(then)); }
+  void tell(path::Told what) override { sim_.told_.push_back(std::move(what)); }
+  void log(Level, std::string) override {}
+  bool built = false;  // the shard's own timer is made first
+
+ private:
+  Sim& sim_;
+  std::uint16_t shard_;
+};
+
+class Sim::Strands final : public path::StrandWorld {
+ public:
+  explicit Strands(Sim& sim) : sim_(sim) {}
+  Time now() override { return sim_.now_; }
+  Time unix_offset() override { return Time::zero(); }
+  void order(std::size_t shard, std::vector<path::Order>& orders) override {
+    for (auto& order : orders) sim_.orders_[shard].push_back(std::move(order));
+    orders.clear();
+  }
+  void tell_peers(const router::TellPeers&) override {}
+  void log(Level, std::string) override {}
+
+ private:
+  Sim& sim_;
+};
+
+Sim::Sim(Setting& setting)
+    : setting_(setting),
+      orders_(setting.plan.shards),
+      clients_(setting.plan.clients.size()),
+      draining_(setting.plan.engines),
+      told_draining_(setting.plan.engines),
+      drain_told_(setting.plan.engines, Time::max()),
+      splits_(setting.plan.splits),
+      leaves_(setting.plan.leaves),
+      failures_(setting.plan.failures),
+      drains_(setting.plan.drains),
+      idle_closes_(setting.plan.idle_closes),
+      late_(setting.plan.late),
+      stalls_(setting.plan.stalls),
+      passes_(setting.plan.passes) {
+  const auto& plan = setting.plan;
+  strands_ = std::make_unique<Strands>(*this);
+  strand_ = std::make_unique<path::Strand>(*strands_, setting.config, setting.metrics, 5, plan.shards);
+  for (std::uint16_t i = 0; i < plan.shards; ++i) {
+    worlds_.push_back(std::make_unique<ShardWorld>(*this, i));
+    shards_.push_back(std::make_unique<path::Shard>(*worlds_[i], setting.config, setting.metrics,
+                                                    setting.front, setting.tracer, i, plan.shards));
+    worlds_[i]->built = true;
+  }
+  strand_->run();
+  told_.push_back({now_, listed()});
+  strand_->read(told_);
+  told_.clear();
+  for (std::size_t i = 0; i < shards_.size(); ++i) {
+    shards_[i]->carry_out(orders_[i]);
+    orders_[i].clear();
+  }
+  for (std::size_t i = 0; i < clients_.size(); ++i) {
+    auto& client = clients_[i];
+    const auto shard = static_cast<std::uint16_t>(i % shards_.size());
+    const auto wire = add_wire(shard, false, static_cast<std::uint16_t>(i));
+    client.wire = wire->id;
+    client.reader = std::make_unique<http::Parser>(http::Role::response);
+    wire->connecting = false;
+    shards_[shard]->serve(wire, "");
+    for (std::size_t n = 0; n < plan.clients[i].size(); ++n)
+      requests_[plan.clients[i][n].id] = {i, n, plan.clients[i][n], {}, {}, false, {}, 0};
+  }
+}
+
+Sim::~Sim() {
+  const auto heard = std::exchange(path::steps, nullptr);  // what ends with the world is no event of it
+  shards_.clear();                                         // connections close into the wires, which live on
+  path::steps = heard;
+}
+
+std::shared_ptr<Sim::WireState> Sim::add_wire(std::uint16_t shard, bool to_engine, std::uint16_t peer) {
+  const auto to = to_engine ? WireState::To::engine : WireState::To::client;
+  auto wire = std::make_shared<WireState>();
+  wire->sim = this;
+  wire->id = static_cast<std::uint16_t>(wires_.size());
+  wire->shard = shard;
+  wire->to = to;
+  wire->peer = peer;
+  wire->connecting = true;
+  for (const auto& other : wires_)
+    if (other->to == to && other->shard == shard && other->peer == peer) ++wire->ordinal;
+  wires_.push_back(wire);
+  return wire;
+}
+
+path::Listed Sim::listed() const {
+  path::Listed listed;
+  for (std::size_t e = 0; e < draining_.size(); ++e) {
+    fleet::Entry entry;
+    entry.name = engine_name(e);
+    entry.host = "127.0.0.1";
+    entry.port = static_cast<std::uint16_t>(e + 1);
+    entry.kind = "small";
+    entry.state = draining_[e] ? EngineState::draining : EngineState::ready;
+    listed.entries.push_back(std::move(entry));
+  }
+  return listed;
+}
+
+void Sim::break_property(std::string property, std::string detail) {
+  if (!broken_) broken_ = Broken{std::move(property), std::move(detail)};
+}
+
+// ---- engines -------------------------------------------------------------------------------------------
+void Sim::engine_reads(WireState& wire) {
+  auto& s = wire.session;
+  while (!s.in.empty()) {
+    if (!s.started) {
+      const auto frame = sql::next_startup(s.in);
+      if (frame.state != sql::Frame::State::complete) return;
+      const auto startup = sql::read_startup(frame.message.payload);
+      s.in.erase(0, frame.size);
+      s.started = true;
+      if (startup && startup->code == sql::kCancelCode) {
+        s.cancels = startup->process;
+        auto& target = *wires_.at(startup->process - 1);
+        s.running = target.session.running;  // what it is meant for
+        s.cancel_target = target.session.statements;
+        for (auto& [id, request] : requests_)
+          for (auto& attempt : request.attempts)
+            if (attempt.wire == target.id && id == target.session.running) attempt.cancel_asked = true;
+        continue;
+      }
+      sql::put_authentication_ok(wire.to_router);
+      sql::put_key(wire.to_router, wire.id + 1U, 7);
+      sql::put_ready(wire.to_router);
+      s.ready = true;
+      continue;
+    }
+    const auto frame = sql::next_message(s.in, 1 << 20);
+    if (frame.state != sql::Frame::State::complete) return;
+    const auto type = frame.message.type;
+    const std::string payload(frame.message.payload);
+    s.in.erase(0, frame.size);
+    if (type == 'Q') statement(wire, std::string(sql::read_text(payload).value_or("")));
+    if (type == 'P') s.text = std::string(sql::read_parse(payload).value_or("")), s.extended = true;
+    if (type == 'S') statement(wire, s.text);
+  }
+}
+
+// The properties that are seen at an engine, as the first whole message of a statement goes out to it.
+void Sim::statement(WireState& wire, const std::string& text) {
+  auto& s = wire.session;
+  const auto id = id_in(text);
+  if (!s.running.empty() || !wire.to_router.empty())
+    break_property(
+        "no connection is used again before ReadyForQuery",
+        fmt::format("{} was sent {} while {} ran on that connection", engine_name(wire.peer), id, s.running));
+  s.running = id.empty() ? "probe" : id;
+  ++s.statements;
+  const auto found = requests_.find(id);
+  if (found == requests_.end()) return;
+  auto& request = found->second;
+  const auto& cls = request.asked.cls;
+  if (request.status)
+    break_property(
+        "nothing is sent after the final answer",
+        fmt::format("{} went to {} after its answer {}", id, engine_name(wire.peer), *request.status));
+  for (const auto& attempt : request.attempts) {
+    if (attempt.out)
+      break_property("no two attempts of one request are out at once",
+                     fmt::format("{} went to {} while it was out on {}", id, engine_name(wire.peer),
+                                 engine_name(attempt.engine)));
+    if (cls == "load" && !attempt.proven_unrun)
+      break_property("an unsafe request is sent again only if no attempt ran",
+                     fmt::format("{} went to {} though it may have run on {}", id, engine_name(wire.peer),
+                                 engine_name(attempt.engine)));
+  }
+  if (drain_told_[wire.peer] != Time::max() &&
+      (told_draining_[wire.peer] || now_ > drain_told_[wire.peer] + setting_.config.module.drain_grace))
+    break_property("no engine is sent to once it is known to be draining",
+                   fmt::format("{} went to {}", id, engine_name(wire.peer)));
+  if (request.arrived && now_ >= *request.arrived + request.asked.timeout)
+    break_property("nothing is sent after the deadline",
+                   fmt::format("{} went to {}", id, engine_name(wire.peer)));
+  request.attempts.push_back({wire.id, wire.peer, true, false, false});
+  ++request.ran;
+}
+
+std::string Sim::answer_of(const Session& session, unsigned rows) const {
+  std::string out;
+  if (session.extended) sql::put_parse_complete(out), sql::put_bind_complete(out);
+  sql::put_columns(out, {{"a", 23}});
+  for (unsigned i = 0; i < rows; ++i) sql::put_row(out, {"1"});
+  sql::put_complete(out, fmt::format("SELECT {}", rows));
+  sql::put_ready(out);
+  return out;
+}
+
+// The attempt on this wire is over, as far as sockets show.
+void Sim::settle(const std::string& id, std::uint16_t wire, bool proven_unrun) {
+  const auto found = requests_.find(id);
+  if (found == requests_.end()) return;
+  for (auto& attempt : found->second.attempts)
+    if (attempt.wire == wire && attempt.out) attempt.out = false, attempt.proven_unrun = proven_unrun;
+}
+
+void Sim::lost_wire(WireState& wire) {
+  for (auto& [id, request] : requests_)
+    for (auto& attempt : request.attempts)
+      if (attempt.wire == wire.id) attempt.out = false;
+  wire.session.running.clear();
+}
+
+// ---- clients -------------------------------------------------------------------------------------------
+void Sim::client_reads(WireState& wire, std::string_view bytes) {
+  auto& client = clients_[wire.peer];
+  if (client.left) return;
+  client.in += bytes;
+  const auto& script = setting_.plan.clients[wire.peer];
+  while (true) {
+    const auto step = client.reader->next(client.in);
+    client.body += step.body;
+    client.in.erase(0, step.consumed);
+    using Event = http::Parser::Event;
+    if (step.event == Event::need_more) return;
+    if (step.event == Event::error)
+      return break_property("one final answer", fmt::format("client {} reads no HTTP", wire.peer + 1));
+    if (step.event == Event::head) {
+      if (client.answered >= client.sent)
+        return break_property("one final answer", fmt::format("client {} got one too many", wire.peer + 1));
+      auto& request = requests_.at(script[client.answered].id);
+      request.status = client.reader->status();
+      if (!request.arrived && *request.status != 408)
+        break_property("one final answer", request.asked.id + " was answered before it was whole");
+      if (*request.status == 200 && request.arrived && now_ > *request.arrived + request.asked.timeout)
+        break_property("no answer is served after the deadline", request.asked.id);
+      const bool may_have_run =
+          std::ranges::any_of(request.attempts, [](const Attempt& a) { return !a.proven_unrun; });
+      client.body.clear();
+      if (request.asked.cls == "load" && *request.status == 503 && may_have_run)
+        break_property("an unsafe request is refused only if no attempt ran", request.asked.id);
+    }
+    if (step.event == Event::end) {
+      auto& request = requests_.at(script[client.answered].id);
+      request.whole = true;
+      ++client.answered;
+    }
+  }
+}
+
+// ---- time ----------------------------------------------------------------------------------------------
+Time Sim::next_timer() const {
+  auto due = Time::max();
+  for (const auto& timer : timers_)
+    if (timer->alive && !timer->sweeper) due = std::min(due, timer->due);
+  return due;
+}
+
+bool Sim::pending_events() const {
+  if (!deferred_.empty() || !told_.empty()) return true;
+  if (std::ranges::any_of(orders_, [](const auto& o) { return !o.empty(); })) return true;
+  if (strand_->next_due() <= now_ || next_timer() <= now_) return true;
+  return std::ranges::any_of(wires_, [](const auto& w) {
+    if (w->closed) return false;
+    if (w->connecting) return true;
+    return w->reading && (!w->to_router.empty() || w->end || w->reset);
+  });
+}
+
+// On time, what nobody else sees goes by itself: the strand's ticks and the shards' own.
+void Sim::pass(bool stalled) {
+  if (stalled) {
+    for (auto& wire : wires_)
+      if (!wire->to_router.empty() && !wire->arrived) wire->arrived = now_;
+    now_ += setting_.plan.stall;
+    return;
+  }
+  const auto limit = now_ + kLongestPass;
+  while (true) {
+    auto next = std::min(strand_->next_due(), next_timer());
+    TimerState* sweeper = nullptr;
+    for (const auto& timer : timers_)
+      if (timer->alive && timer->sweeper && timer->due < next) next = timer->due, sweeper = timer.get();
+    if (next > limit) {
+      now_ = limit;
+      return;
+    }
+    now_ = std::max(now_, next);
+    if (sweeper != nullptr) {
+      sweeper->due = Time::max();
+      sweeper->then();
+    } else if (next_timer() <= now_) {
+      return;
+    } else {
+      std::string line;
+      put(line, now_);
+      mix(strand_history_, line);
+      strand_->run();
+    }
+    if (!told_.empty() || !deferred_.empty() ||
+        std::ranges::any_of(orders_, [](const auto& o) { return !o.empty(); }))
+      return;
+  }
+}
+
+// ---- choices -------------------------------------------------------------------------------------------
+void Sim::choices(std::vector<Choice>& out) const {
+  out.clear();
+  const auto put = [&out](Kind kind, std::size_t a = 0, unsigned b = 0) {
+    out.push_back({kind, static_cast<std::uint16_t>(a), static_cast<std::uint8_t>(b)});
+  };
+  if (!told_.empty()) put(Kind::told);
+  for (std::size_t i = 0; i < orders_.size(); ++i)
+    if (!orders_[i].empty()) put(Kind::ordered, i);
+  if (!deferred_.empty()) put(Kind::deferred);
+  if (strand_->next_due() <= now_) put(Kind::due);
+  for (std::size_t i = 0; i < timers_.size(); ++i)
+    if (timers_[i]->alive && timers_[i]->due <= now_) put(Kind::timer, i);
+  for (std::size_t i = 0; i < clients_.size(); ++i) {
+    const auto& client = clients_[i];
+    const auto& wire = *wires_[client.wire];
+    if (client.left || wire.closed || wire.end) continue;
+    const auto& script = setting_.plan.clients[i];
+    const bool next =
+        client.sent < script.size() && (setting_.plan.pipelined || client.answered == client.sent);
+    if (!client.rest.empty()) {
+      put(Kind::send, i);
+    } else if (next) {
+      put(Kind::send, i);
+      if (splits_ > 0) put(Kind::send, i, 1), put(Kind::send, i, 2);
+    }
+    if (leaves_ > 0 && client.sent > 0) put(Kind::leave, i, 0), put(Kind::leave, i, 1);
+  }
+  for (const auto& wire : wires_) {
+    if (wire->closed) continue;
+    const auto& s = wire->session;
+    if (wire->connecting) {
+      put(Kind::connected, wire->id);
+      if (failures_ > 0) put(Kind::refused, wire->id);
+      continue;
+    }
+    if (wire->reading && !wire->to_router.empty()) {
+      put(Kind::deliver, wire->id);
+      if (splits_ > 0 && wire->to == WireState::To::engine && wire->to_router.size() > 1)
+        put(Kind::deliver, wire->id, 1);
+    }
+    if (wire->reading && wire->end && wire->to_router.empty()) put(Kind::over, wire->id, 0);
+    if (wire->reading && wire->reset) put(Kind::over, wire->id, 1);
+    if (wire->to != WireState::To::engine || wire->end || wire->reset) continue;
+    if (s.cancels != 0) {
+      if (!s.cancel_read) put(Kind::cancel, wire->id);
+      continue;
+    }
+    if (!s.running.empty()) {
+      if (!s.half.empty()) {
+        put(Kind::finish, wire->id);
+      } else {
+        put(Kind::answer, wire->id, static_cast<unsigned>(Answering::whole));
+        if (splits_ > 0) put(Kind::answer, wire->id, static_cast<unsigned>(Answering::half));
+        if (failures_ > 0) {
+          put(Kind::answer, wire->id, static_cast<unsigned>(Answering::turned_away));
+          put(Kind::answer, wire->id, static_cast<unsigned>(Answering::error));
+        }
+      }
+      if (failures_ > 0) put(Kind::answer, wire->id, static_cast<unsigned>(Answering::reset));
+    } else if (s.ready && idle_closes_ > 0 && wire->to_router.empty()) {
+      put(Kind::idle_close, wire->id, 0);
+      put(Kind::idle_close, wire->id, 1);
+    }
+  }
+  if (drains_ > 0)
+    for (std::size_t e = 0; e < draining_.size(); ++e)
+      if (!draining_[e]) put(Kind::list, e);
+  if (passes_ > 0 && (late_ > 0 || !pending_events())) put(Kind::pass);
+  if (stalls_ > 0) put(Kind::stall);
+}
+
+void Sim::take(const Choice& choice) {
+  {
+    scratch_.clear();
+    put(scratch_,
+        static_cast<std::uint64_t>(choice.kind) << 32 | static_cast<std::uint64_t>(choice.a) << 8 | choice.b);
+    mix(history_, scratch_);
+  }
+  switch (choice.kind) {
+    case Kind::send: {
+      auto& client = clients_[choice.a];
+      auto& wire = *wires_[client.wire];
+      if (!client.rest.empty()) {
+        wire.to_router += std::exchange(client.rest, {});
+        return;
+      }
+      const auto& asked = setting_.plan.clients[choice.a][client.sent++];
+      std::string text;
+      http::put_request(
+          text, "POST", "/v1/query", "a",
+          fmt::format(R"({{"statement":"select x /*hw id={} */","class":"{}"}})", asked.id, asked.cls),
+          {{"heronwell-timeout-ms", std::to_string(asked.timeout.count())},
+           {"connection", asked.keep_alive ? "keep-alive" : "close"}});
+      if (choice.b != 0) {
+        --splits_;
+        const auto cut = choice.b == 1 ? 1 : text.size() - 1;
+        client.rest = text.substr(cut);
+        text.resize(cut);
+      }
+      wire.to_router += text;
+      return;
+    }
+    case Kind::leave: {
+      --leaves_;
+      auto& client = clients_[choice.a];
+      client.left = true;
+      auto& wire = *wires_[client.wire];
+      (choice.b == 0 ? wire.end : wire.reset) = true;
+      return;
+    }
+    case Kind::connected: {
+      auto& wire = *wires_[choice.a];
+      wire.connecting = false;
+      wire.log("connected");
+      if (const auto user = wire.user.lock()) user->connected();
+      return;
+    }
+    case Kind::refused: {
+      --failures_;
+      auto& wire = *wires_[choice.a];
+      wire.connecting = false;
+      wire.log("refused");
+      if (const auto user = wire.user.lock()) user->over(true);
+      return;
+    }
+    case Kind::deliver: {
+      auto wire = wires_[choice.a];
+      auto bytes = wire->to_router;
+      if (choice.b == 1) {
+        --splits_;
+        bytes.resize(1);
+      }
+      wire->to_router.erase(0, bytes.size());
+      wire->log("deliver", bytes);
+      delivered(*wire, bytes);
+      if (const auto user = wire->user.lock()) user->received(bytes);
+      if (wire->to_router.empty()) wire->arrived.reset();
+      return;
+    }
+    case Kind::over: {
+      auto wire = wires_[choice.a];
+      wire->log("over", choice.b == 0 ? "end" : "reset");
+      wire->to_router.clear();
+      wire->reading = false;
+      wire->seen = true;
+      wire->end = wire->reset = false;
+      wire->gone = true;
+      if (wire->to == WireState::To::engine) lost_wire(*wire);
+      if (const auto user = wire->user.lock()) user->over(choice.b == 1);
+      return;
+    }
+    case Kind::answer: {
+      auto& wire = *wires_[choice.a];
+      auto& s = wire.session;
+      const auto found = requests_.find(s.running);
+      const auto rows = found == requests_.end() ? 1 : found->second.asked.rows;
+      switch (static_cast<Answering>(choice.b)) {
+        case Answering::whole:
+          wire.to_router += answer_of(s, rows);
+          return ended(wire, false);
+        case Answering::half: {
+          --splits_;
+          auto all = answer_of(s, rows);
+          const auto cut = all.size() / 2;
+          wire.to_router += all.substr(0, cut);
+          s.half = all.substr(cut);
+          return;
+        }
+        case Answering::turned_away:
+        case Answering::error:
+          --failures_;
+          sql::put_error(wire.to_router, static_cast<Answering>(choice.b) == Answering::error
+                                             ? sql::ErrorText{"ERROR", "22012", "division by zero"}
+                                             : sql::ErrorText{"ERROR", "53300", "too many connections"});
+          sql::put_ready(wire.to_router);
+          return ended(wire, static_cast<Answering>(choice.b) == Answering::turned_away);
+        case Answering::reset:
+          --failures_;
+          wire.reset = true;
+          s.running.clear();
+          s.half.clear();
+          return;
+      }
+      return;
+    }
+    case Kind::finish: {
+      auto& wire = *wires_[choice.a];
+      wire.to_router += std::exchange(wire.session.half, {});
+      return ended(wire, false);
+    }
+    case Kind::idle_close: {
+      --idle_closes_;
+      auto& wire = *wires_[choice.a];
+      wire.end = true;
+      wire.seen = choice.b == 1;
+      return;
+    }
+    case Kind::cancel: {
+      auto& wire = *wires_[choice.a];
+      auto& s = wire.session;
+      s.cancel_read = true;
+      wire.end = true;
+      auto& target = *wires_.at(s.cancels - 1);
+      auto& running = target.session;
+      if (target.closed || target.end || target.reset || running.running.empty()) return;
+      if (running.statements != s.cancel_target)
+        return break_property("no cancel hits another statement",
+                              fmt::format("one meant for {} hit {}", s.running, running.running));
+      running.half.clear();
+      sql::put_error(target.to_router, {"ERROR", "57014", "canceling statement due to user request"});
+      sql::put_ready(target.to_router);
+      return ended(target, false);
+    }
+    case Kind::told: {
+      auto told = std::exchange(told_, {});
+      std::string line;
+      put(line, now_);
+      for (const auto& one : told) line += encoded(one);
+      mix(strand_history_, line);
+      strand_->read(told);
+      return;
+    }
+    case Kind::ordered: {
+      auto orders = std::exchange(orders_[choice.a], {});
+      for (const auto& order : orders) {
+        if (const auto* fleet = std::get_if<std::shared_ptr<const path::Fleet>>(&order))
+          for (std::size_t e = 0; e < told_draining_.size(); ++e) {
+            const auto known = (*fleet)->find(fleet::Book::number(engine_name(e)));
+            if (known != (*fleet)->end() && known->second.entry.state != EngineState::ready)
+              told_draining_[e] = true;
+          }
+        std::string line;
+        put(line, now_);
+        line += encoded(order);
+        mix(ordered_[order_key(order)], line);
+      }
+      shards_[choice.a]->carry_out(orders);
+      return;
+    }
+    case Kind::timer: {
+      const auto timer = timers_[choice.a];
+      timer->due = Time::max();
+      timer->then();
+      return;
+    }
+    case Kind::deferred: {
+      const auto then = std::move(deferred_.front());
+      deferred_.pop_front();
+      then();
+      return;
+    }
+    case Kind::due: {
+      std::string line;
+      put(line, now_);
+      mix(strand_history_, line);
+      strand_->run();
+      return;
+    }
+    case Kind::list:
+      --drains_;
+      draining_[choice.a] = true;
+      drain_told_[choice.a] = now_;
+      told_.push_back({now_, listed()});
+      return;
+    case Kind::pass:
+      if (passes_ > 0) --passes_;
+      if (pending_events() && late_ > 0) --late_;
+      return pass(false);
+    case Kind::stall:
+      --stalls_;
+      return pass(true);
+  }
+}
+
+// The engine has ended the statement, and the answer is on its way.
+void Sim::ended(WireState& wire, bool proven_unrun) {
+  wire.session.ended = std::exchange(wire.session.running, {});
+  wire.session.extended = false;
+  wire.session.unrun = proven_unrun;
+  const auto found = requests_.find(wire.session.ended);
+  if (proven_unrun && found != requests_.end() && found->second.ran > 0) --found->second.ran;
+}
+
+// What this shows the router: a request is whole, an attempt over.
+void Sim::delivered(WireState& wire, std::string_view) {
+  if (wire.to == WireState::To::client) {
+    auto& client = clients_[wire.peer];
+    if (client.sent > 0 && client.rest.empty() && wire.to_router.empty()) {
+      for (std::size_t n = 0; n < client.sent; ++n) {
+        auto& request = requests_.at(setting_.plan.clients[wire.peer][n].id);
+        if (!request.arrived) request.arrived = wire.arrived.value_or(now_);
+      }
+    }
+  } else if (wire.to_router.empty() && wire.session.running.empty() && !wire.session.ended.empty()) {
+    settle(std::exchange(wire.session.ended, {}), wire.id, wire.session.unrun);
+  }
+}
+
+std::uint64_t Sim::order_key(const path::Order& order) {
+  const auto* command = std::get_if<router::Command>(&order);
+  if (command == nullptr) return 0;
+  return std::visit(
+      [](const auto& c) -> std::uint64_t {
+        if constexpr (requires { c.ticket; }) return c.ticket;
+        return 0;
+      },
+      *command);
+}
+
+// ---- the state -----------------------------------------------------------------------------------------
+Hash Sim::hash(bool exact) const {
+  if (exact) return history_;
+  auto& out = scratch_;
+  out.clear();
+  put(out, now_);
+  for (const auto budget : {splits_, leaves_, failures_, drains_, idle_closes_, late_, stalls_, passes_})
+    put(out, budget);
+  put(out, drawn_);
+  for (const auto& client : clients_) {
+    put(out, client.sent << 32 | client.answered << 1 | (client.left ? 1U : 0U));
+    put(out, client.rest);
+    put(out, client.in.size());
+  }
+  std::vector<const WireState*> sorted;
+  for (const auto& wire : wires_) sorted.push_back(wire.get());
+  std::ranges::sort(sorted, {},
+                    [](const WireState* w) { return std::tuple(w->to, w->shard, w->peer, w->ordinal); });
+  for (const auto* wire : sorted) {
+    const auto& s = wire->session;
+    put(out, static_cast<std::uint64_t>(wire->to) << 48 | static_cast<std::uint64_t>(wire->shard) << 32 |
+                 static_cast<std::uint64_t>(wire->peer) << 16 | wire->ordinal);
+    put(out, wire->transcript);
+    put(out, wire->to_router);
+    put(out, (wire->connecting ? 1U : 0U) | (wire->reading ? 2U : 0U) | (wire->closed ? 4U : 0U) |
+                 (wire->end ? 8U : 0U) | (wire->reset ? 16U : 0U) | (wire->seen ? 32U : 0U) |
+                 (s.cancel_read ? 64U : 0U) | (s.unrun ? 128U : 0U) | (wire->gone ? 256U : 0U));
+    put(out, wire->arrived.value_or(Time::zero()));
+    put(out, s.running);
+    put(out, s.ended);
+    put(out, s.half.size());
+    put(out, s.cancel_target);
+  }
+  put(out, strand_history_);
+  for (const auto& told : told_) out += encoded(told);
+  for (const auto& orders : orders_) {
+    put(out, orders.size());
+    for (const auto& order : orders) out += encoded(order);
+  }
+  for (const auto& [key, given] : ordered_) put(out, key), put(out, given);
+  std::vector<Time> dues;
+  for (const auto& timer : timers_)
+    if (timer->alive && timer->due != Time::max()) dues.push_back(timer->due);
+  std::ranges::sort(dues);
+  for (const auto due : dues) put(out, due);
+  put(out, deferred_.size());
+  for (const auto& shard : shards_) {
+    const auto books = shard->books();
+    put(out, books.turn);
+    put(out, books.suspect_from);
+    put(out, books.suspect_until);
+    put(out, books.exchanges << 32 | books.attempts << 16 | books.idle << 8 | books.cancels);
+  }
+  for (const auto& [id, request] : requests_) {
+    put(out, request.arrived.value_or(Time::zero()));
+    put(out, static_cast<std::uint64_t>(request.status.value_or(0)) << 8 | (request.whole ? 1U : 0U));
+    for (const auto& a : request.attempts)
+      put(out, static_cast<std::uint64_t>(wires_[a.wire]->peer) << 8 | (a.out ? 1U : 0U) |
+                   (a.proven_unrun ? 2U : 0U) | (a.cancel_asked ? 4U : 0U));
+  }
+  for (std::size_t e = 0; e < draining_.size(); ++e) {
+    put(out, (draining_[e] ? 1U : 0U) | (told_draining_[e] ? 2U : 0U));
+    put(out, drain_told_[e]);
+  }
+  return hash_of(out);
+}
+
+std::optional<Choice> Sim::fair() const {
+  std::vector<Choice> all;
+  choices(all);
+  constexpr std::array kOrder{Kind::deferred, Kind::told,   Kind::ordered, Kind::connected,
+                              Kind::deliver,  Kind::over,   Kind::timer,   Kind::due,
+                              Kind::cancel,   Kind::finish, Kind::answer,  Kind::send};
+  for (const auto kind : kOrder)
+    for (const auto& choice : all)
+      if (choice.kind == kind && (choice.b == 0 || kind == Kind::over)) return choice;
+  bool over = strand_->host().remembered() == 0;
+  for (const auto& shard : shards_) {
+    const auto books = shard->books();
+    over = over && books.exchanges == 0 && books.attempts == 0 && books.cancels == 0;
+  }
+  if (over || now_ > std::chrono::seconds(1000 + 60)) return std::nullopt;
+  return Choice{Kind::pass, 0, 0};
+}
+
+void Sim::check_end() {
+  for (const auto& [id, request] : requests_) {
+    const auto& client = clients_[request.client];
+    if (request.arrived && !request.whole && !client.left && !wires_[client.wire]->closed)
+      break_property("each request gets its final answer", id + " got none");
+  }
+  if (strand_->host().open() != 0 || strand_->host().remembered() != 0)
+    break_property("nothing is remembered after the last request",
+                   fmt::format("the host has {} open and {} remembered", strand_->host().open(),
+                               strand_->host().remembered()));
+  for (const auto& shard : shards_) {
+    const auto books = shard->books();
+    if (books.exchanges + books.attempts + books.cancels != 0)
+      break_property("nothing is remembered after the last request",
+                     fmt::format("a shard has {} exchanges, {} attempts and {} cancel requests",
+                                 books.exchanges, books.attempts, books.cancels));
+  }
+}
+
+std::string Sim::outcome() const {
+  std::string out;
+  for (const auto& [id, request] : requests_)
+    out += fmt::format("{} answer {}{} sent {} ran {}; ", id, request.status.value_or(0),
+                       request.whole ? "" : " cut", request.attempts.size(), request.ran);
+  return out;
+}
+
+std::string Sim::text(const Choice& choice) const {
+  const auto wire = [this](std::uint16_t id) {
+    const auto& w = *wires_[id];
+    if (w.to == WireState::To::client) return fmt::format("client {}", w.peer + 1);
+    if (w.session.cancels != 0) return fmt::format("a cancel request to {}", engine_name(w.peer));
+    return fmt::format("connection {} to {}", w.ordinal + 1, engine_name(w.peer));
+  };
+  const auto more = [this](std::uint16_t id) {
+    const auto& running = wires_[id]->session.running;
+    return running.empty() ? std::string() : " " + running;
+  };
+  switch (choice.kind) {
+    case Kind::send: {
+      const auto& client = clients_[choice.a];
+      if (!client.rest.empty()) return fmt::format("client {} sends the rest", choice.a + 1);
+      const auto& asked = setting_.plan.clients[choice.a][client.sent];
+      return fmt::format("client {} sends {} ({}){}", choice.a + 1, asked.id, asked.cls,
+                         choice.b == 0   ? ""
+                         : choice.b == 1 ? ", its first byte"
+                                         : ", all but its last byte");
+    }
+    case Kind::leave:
+      return fmt::format("client {} {} its connection", choice.a + 1, choice.b == 0 ? "closes" : "resets");
+    case Kind::connected:
+      return fmt::format("{} stands", wire(choice.a));
+    case Kind::refused:
+      return fmt::format("{} is refused", wire(choice.a));
+    case Kind::deliver:
+      return fmt::format(
+          "the router reads {} from {}",
+          choice.b == 0 ? fmt::format("{} bytes", wires_[choice.a]->to_router.size()) : "one byte",
+          wire(choice.a));
+    case Kind::over:
+      return fmt::format("the router reads the {} of {}", choice.b == 0 ? "end" : "reset", wire(choice.a));
+    case Kind::answer: {
+      constexpr std::array<const char*, 5> how{"answers", "answers the first half of", "turns away (53300)",
+                                               "answers an error to", "resets instead of answering"};
+      return fmt::format("{} {}{} on {}", engine_name(wires_[choice.a]->peer), how.at(choice.b),
+                         more(choice.a), wire(choice.a));
+    }
+    case Kind::finish:
+      return fmt::format("{} sends the rest of{}", engine_name(wires_[choice.a]->peer), more(choice.a));
+    case Kind::idle_close:
+      return fmt::format("{} closes {}{}", engine_name(wires_[choice.a]->peer), wire(choice.a),
+                         choice.b == 1 ? ", and its end is here" : "");
+    case Kind::cancel:
+      return fmt::format("{} reads the cancel request", engine_name(wires_[choice.a]->peer));
+    case Kind::told:
+      return fmt::format("the strand reads {} events", told_.size());
+    case Kind::ordered:
+      return fmt::format("shard {} reads {} orders", choice.a + 1, orders_[choice.a].size());
+    case Kind::timer:
+      return fmt::format("timer {} fires", choice.a + 1);
+    case Kind::deferred:
+      return "a deferred call runs";
+    case Kind::due:
+      return "the strand's own time has come";
+    case Kind::list:
+      return fmt::format("{} is listed as draining", engine_name(choice.a));
+    case Kind::pass:
+      return "time passes";
+    case Kind::stall:
+      return fmt::format("the router has no turn for {} ms", setting_.plan.stall.count());
+  }
+  return "";
+}
+
+}  // namespace heronwell::explore
--- /dev/null
+++ b/src/explore/world.hpp
@@ -0,0 +1,207 @@
+// A small world round the real shards, strand, host and module: clients, engines, wires, timers and the two
+// mailboxes, all on virtual time. It moves only by choices: at any moment choices() lists every event that
+// may come next, and take() lets one come. The same choices give the same world to the last byte.
+//
+// What actors do and when it reaches the router are two choices, so an answer may cross a cancel on the way.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "http/message.hpp"
+#include "path/graphql.hpp"
+#include "path/shard.hpp"
+#include "path/strand.hpp"
+
+namespace heronwell::explore {
+
+struct Asked {  // a request of a client's script
+  std::string id{}, cls{};
+  std::chrono::milliseconds timeout{1000};
+  bool keep_alive = true;
+  unsigned rows = 1;  // of its answer
+};
+
+// What a world is, and how many times each unlikely thing may happen in one run of it: the bounds of the
+// search.
+struct Plan {
+  std::string name{}, about{};
+  unsigned shards = 1, engines = 1;
+  std::vector<std::vector<Asked>> clients{};  // by client: its requests, in order
+  unsigned hold = 0;                          // bytes of an answer held before it is streamed; 0: the default
+  std::string settings{};                     // more YAML of the router's configuration
+  unsigned splits = 0;                        // messages cut at a byte boundary
+  unsigned leaves = 0;                        // clients that hang up or reset
+  unsigned failures = 0;     // dials refused, connections reset, statements turned away or in error
+  unsigned drains = 0;       // engines told draining
+  unsigned idle_closes = 0;  // engines that close a connection no statement runs on
+  unsigned late = 0;         // times that pass while events wait
+  unsigned stalls = 0;       // the whole router without a turn for a while
+  unsigned passes = 6;       // times that pass with nothing else to come
+  std::chrono::milliseconds stall{400};
+  bool pipelined = false;  // clients send their next request before an answer
+};
+
+enum class Kind : std::uint8_t {
+  send,        // client a sends its next request; b: whole, or cut after the first byte / before the last
+  leave,       // client a closes (b 0) or resets (b 1) its connection
+  connected,   // wire a stands
+  refused,     // wire a is refused
+  deliver,     // wire a: what waits reaches the router; b 1: its first byte only
+  over,        // wire a: its end (b 0) or reset (b 1) reaches the router
+  answer,      // the engine of wire a answers; b: Answering
+  finish,      // the rest of a half answer
+  idle_close,  // the engine of wire a closes it between statements
+  cancel,      // the engine reads the cancel request on wire a
+  told,        // the strand reads what the shards told
+  ordered,     // shard a reads its orders
+  timer,       // timer a, whose time has come
+  deferred,    // the shards' next deferred call
+  due,         // the strand's own time has come
+  list,        // engine a is told draining
+  pass,        // time goes on to the next thing that is due
+  stall,       // the router has no turn for a while
+};
+enum class Answering : std::uint8_t { whole, half, turned_away, error, reset };
+
+struct Choice {
+  Kind kind = Kind::pass;
+  std::uint16_t a = 0;
+  std::uint8_t b = 0;
+  bool operator==(const Choice&) const = default;
+};
+
+// A property that does not hold.
+struct Broken {
+  std::string property, detail;
+};
+
+struct Hash {
+  std::uint64_t high = 0, low = 0;
+  auto operator<=>(const Hash&) const = default;
+};
+
+// What all runs of a plan share: the configuration and counters nobody reads.
+struct Setting {
+  explicit Setting(const Plan& plan);
+  Plan plan;
+  config::Config config;
+  path::Metrics metrics;
+  router::Front front;
+  trace::Tracer tracer;
+};
+
+class Sim {
+ public:
+  explicit Sim(Setting& setting);
+  ~Sim();
+  Sim(const Sim&) = delete;
+
+  void choices(std::vector<Choice>& out) const;
+  void take(const Choice& choice);                             // one of choices()
+  [[nodiscard]] std::string text(const Choice& choice) const;  // what it would be now, for people
+
+  // The state: equal hashes, equal futures. `exact`: by the whole history of what the shards were given, in
+  // order, instead of by connection; for checking the one against the other.
+  [[nodiscard]] Hash hash(bool exact = false) const;
+  [[nodiscard]] const std::optional<Broken>& broken() const { return broken_; }
+  // One step of the fair way on: whatever waits comes, oldest first, engines answer, then time passes. Empty:
+  // all is over.
+  [[nodiscard]] std::optional<Choice> fair() const;
+  // To be called once fair() has nothing more: what must hold in the end.
+  void check_end();
+  [[nodiscard]] Time now() const { return now_; }
+  [[nodiscard]] std::string outcome() const;  // of each request: what its client saw, what engines ran
+
+ private:
+  friend class SimWire;
+  friend class SimTimer;
+  class ShardWorld;
+  class Strands;
+  struct Session {  // of an engine, on one wire
+    std::string in;
+    bool started = false, ready = false;
+    std::string text, running, half;  // running: the id of the statement, empty: none
+    bool extended = false;
+    std::string ended;                // the statement whose answer is on its way
+    bool unrun = false;               // that answer proves that it never began
+    std::uint64_t statements = 0;     // so far
+    std::uint32_t cancels = 0;        // of a cancel wire: the process it names,
+    std::uint64_t cancel_target = 0;  // and its statement then
+    bool cancel_read = false;
+  };
+  struct WireState;
+  struct Attempt {
+    std::uint16_t wire = 0, engine = 0;
+    bool out = true, proven_unrun = false, cancel_asked = false;
+  };
+  struct Client {
+    std::uint16_t wire = 0;
+    bool connected = false, left = false;
+    std::size_t sent = 0, answered = 0;
+    std::string rest;  // of a cut request
+    std::unique_ptr<http::Parser> reader;
+    std::string in, body;
+  };
+  struct Request {
+    std::size_t client = 0, number = 0;
+    Asked asked;
+    std::optional<Time> arrived;  // in the router's reach
+    std::optional<int> status;    // of its answer, once begun
+    bool whole = false;
+    std::vector<Attempt> attempts;
+    unsigned ran = 0;
+  };
+
+  void break_property(std::string property, std::string detail);
+  void engine_reads(WireState& wire);
+  void statement(WireState& wire, const std::string& text);
+  void client_reads(WireState& wire, std::string_view bytes);
+  void settle(const std::string& id, std::uint16_t wire, bool proven_unrun);
+  void lost_wire(WireState& wire);
+  void ended(WireState& wire, bool proven_unrun);
+  void delivered(WireState& wire, std::string_view bytes);
+  void pass(bool stalled);
+  std::shared_ptr<WireState> add_wire(std::uint16_t shard, bool to_engine, std::uint16_t peer);
+  [[nodiscard]] path::Listed listed() const;
+  static std::uint64_t order_key(const path::Order& order);
+  [[nodiscard]] bool pending_events() const;
+  [[nodiscard]] Time next_timer() const;
+  std::string answer_of(const Session& session, unsigned rows) const;
+
+  Setting& setting_;
+  Time now_{std::chrono::seconds(1000)};
+  std::uint64_t drawn_ = 0;
+  std::vector<std::shared_ptr<WireState>> wires_;
+  struct TimerState {
+    Time due = Time::max();
+    std::function<void()> then;
+    bool alive = true, sweeper = false;
+  };
+  std::vector<std::shared_ptr<TimerState>> timers_;
+  std::deque<std::function<void()>> deferred_;
+  std::vector<path::Told> told_;
+  std::vector<std::vector<path::Order>> orders_;
+  std::vector<Client> clients_;
+  std::map<std::string, Request> requests_;
+  std::vector<bool> draining_, told_draining_;  // by engine; told: the shards know
+  std::vector<Time> drain_told_;
+  unsigned splits_, leaves_, failures_, drains_, idle_closes_, late_, stalls_, passes_;
+  std::optional<Broken> broken_;
+  Hash history_, strand_history_;
+  std::map<std::uint64_t, Hash> ordered_;  // by ticket: what its shard was ordered, and when
+  mutable std::string scratch_;
+  std::unique_ptr<Strands> strands_;
+  std::unique_ptr<path::Strand> strand_;
+  std::vector<std::unique_ptr<ShardWorld>> worlds_;
+  std::vector<std::unique_ptr<path::Shard>> shards_;
+};
+
+}  // namespace heronwell::explore
--- /dev/null
+++ b/src/explore/worlds.cpp
@@ -0,0 +1,103 @@
+// The named worlds: each small enough to be searched, and about one hard case.
+#include "explore/search.hpp"
+
+namespace heronwell::explore {
+namespace {
+
+using namespace std::chrono_literals;
+
+std::vector<Plan> all() {
+  std::vector<Plan> plans;
+  plans.push_back({.name = "one",
+                   .about = "one request, one engine: failures, a cut message, a client that leaves",
+                   .clients = {{{.id = "q1", .cls = "lookup"}}},
+                   .splits = 1,
+                   .leaves = 1,
+                   .failures = 1,
+                   .passes = 4});
+  plans.push_back({.name = "unsafe",
+                   .about = "one unsafe request, two engines: what may have run is not sent again",
+                   .engines = 2,
+                   .clients = {{{.id = "w1", .cls = "load"}}},
+                   .leaves = 1,
+                   .failures = 2,
+                   .passes = 4});
+  plans.push_back({.name = "retry",
+                   .about = "one safe request, two engines, failures: retries and their ends",
+                   .engines = 2,
+                   .clients = {{{.id = "q1", .cls = "lookup"}}},
+                   .failures = 2,
+                   .passes = 4});
+  plans.push_back({.name = "drain",
+                   .about = "an engine is told draining while a dial or a retry is on its way",
+                   .engines = 2,
+                   .clients = {{{.id = "q1", .cls = "lookup"}}},
+                   .failures = 1,
+                   .drains = 1,
+                   .passes = 3});
+  plans.push_back(
+      {.name = "pool",
+       .about =
+           "two requests of a client, one after the other, on a pooled connection that the engine may close",
+       .clients = {{{.id = "q1", .cls = "lookup"}, {.id = "w1", .cls = "load"}}},
+       .idle_closes = 1,
+       .passes = 2});
+  plans.push_back(
+      {.name = "cancel",
+       .about =
+           "a client leaves as its answer lands; its cancel crosses ReadyForQuery; another uses the engine",
+       .clients = {{{.id = "q1", .cls = "lookup"}}, {{.id = "q2", .cls = "lookup"}}},
+       .leaves = 1,
+       .passes = 2});
+  plans.push_back({.name = "late",
+                   .about = "a deadline passes while things are on their way",
+                   .clients = {{{.id = "q1", .cls = "lookup", .timeout = 400ms}}},
+                   .late = 2,
+                   .passes = 5});
+  plans.push_back({.name = "stall",
+                   .about = "the router has no turn past the deadline and resumes with all things old",
+                   .clients = {{{.id = "q1", .cls = "lookup", .timeout = 300ms}}},
+                   .leaves = 1,
+                   .drains = 1,
+                   .stalls = 1,
+                   .passes = 3});
+  plans.push_back({.name = "shards",
+                   .about = "two shards and one strand: commands overtake events",
+                   .shards = 2,
+                   .clients = {{{.id = "q1", .cls = "lookup"}}, {{.id = "q2", .cls = "lookup"}}},
+                   .failures = 1,
+                   .passes = 1});
+  plans.push_back(
+      {.name = "pipeline",
+       .about = "two requests sent at once on one connection: answers keep their order",
+       .clients = {{{.id = "q1", .cls = "lookup"}, {.id = "q2", .cls = "lookup", .keep_alive = false}}},
+       .leaves = 1,
+       .failures = 1,
+       .passes = 1,
+       .pipelined = true});
+  plans.push_back({.name = "stream",
+                   .about = "an answer that outgrows what is held: it begins, is cut, cancelled or left",
+                   .clients = {{{.id = "q1", .cls = "lookup", .rows = 8}}},
+                   .hold = 40,
+                   .splits = 1,
+                   .leaves = 1,
+                   .failures = 1,
+                   .stalls = 1,
+                   .passes = 2});
+  return plans;
+}
+
+}  // namespace
+
+const std::vector<Plan>& worlds() {
+  static const auto plans = all();
+  return plans;
+}
+
+const Plan* world_named(std::string_view name) {
+  for (const auto& plan : worlds())
+    if (plan.name == name) return &plan;
+  return nullptr;
+}
+
+}  // namespace heronwell::explore
--- a/src/path/shard.cpp
+++ b/src/path/shard.cpp
@@ -80,7 +80,8 @@
 }
 
 Shard::Books Shard::books() const {
-  Books books{clients_.size(), exchanges_.size(), attempts_.size(), 0, 0, cancels_.size()};
+  Books books{clients_.size(), exchanges_.size(), attempts_.size(), 0, 0, cancels_.size(),
+              turn_,           suspect_from_,     suspect_until_};
   for (const auto& [id, pool] : pools_) books.links += pool.all.size(), books.idle += pool.idle.size();
   return books;
 }
@@ -291,7 +292,10 @@
 void Shard::launch(const AttemptPtr& attempt) {
   attempt->started = now();
   auto* pool = this->pool(attempt->engine);
-  if (pool == nullptr || !pool->fit) return end_attempt(attempt, sql::Seen::not_written);
+  // The engine may have been drained since it was chosen, and the time may be over: this thread may have been
+  // away between the choice and now.
+  if (pool == nullptr || !pool->fit || attempt->until <= attempt->started)
+    return end_attempt(attempt, sql::Seen::not_written);
   while (!pool->idle.empty()) {
     const auto connection = pool->idle.back();
     pool->idle.pop_back();
@@ -366,9 +370,27 @@
 }
 
 // ---- answers -------------------------------------------------------------------------------------------
+// An answer decided in time whose deadline has passed before a byte of it went out, as this thread had no
+// turn in between: its client is told that it is overdue. True: it was.
+bool Shard::overdue(const ExchangePtr& exchange) {
+  if (exchange->streaming() || now() <= exchange->deadline) return false;
+  forget(exchange);
+  router::Answer answer;
+  answer.ticket = exchange->ticket;
+  answer.ending = router::Ending::overdue;
+  answer.attempts = exchange->attempts;
+  answer.last = Result::timed_out;
+  answer.proven_unrun = false;
+  const auto problem = router::problem_of(answer);
+  metrics_.classes[exchange->cls].overdue->Increment();
+  finished(exchange, {'D', 'A'}, problem.status);
+  tell_problem(exchange, problem);
+  return true;
+}
+
 void Shard::on(const router::Deliver& order) {
   const auto exchange = this->exchange(order.ticket);
-  if (!exchange) return;
+  if (!exchange || overdue(exchange)) return;
   auto content = std::move(exchange->contents[order.attempt]);
   exchange->contents.clear();
   forget(exchange);
@@ -397,7 +419,11 @@
 void Shard::on(const router::BeginStream& order) {
   const auto found = attempts_.find({order.ticket, order.attempt});
   if (found == attempts_.end()) return;  // lost meanwhile: its end is on the way to the strand
-  if (auto connection = found->second->connection.lock()) connection->stream();
+  const auto attempt = found->second;
+  const auto connection = attempt->connection.lock();
+  if (!connection) return;
+  if (!overdue(attempt->exchange)) return connection->stream();
+  if (step(attempt->state, TryEvent::stop)) connection->stop(attempt);
 }
 
 void Shard::on(const router::BreakStream& order) {
--- a/src/path/shard.hpp
+++ b/src/path/shard.hpp
@@ -73,6 +73,7 @@
   // For the explorer: everything that is remembered here.
   struct Books {
     std::size_t clients = 0, exchanges = 0, attempts = 0, links = 0, idle = 0, cancels = 0;
+    Time turn{}, suspect_from{}, suspect_until{};  // what unread_since() goes by
   };
   [[nodiscard]] Books books() const;
 
@@ -89,6 +90,7 @@
   void launch(const AttemptPtr& attempt);
   ExchangePtr exchange(Ticket ticket);
   void forget(const ExchangePtr& exchange);
+  bool overdue(const ExchangePtr& exchange);
   void tell_problem(const ExchangePtr& exchange, const router::Problem& problem);
   void tick();
   void sweep();
