Explorer: GraphQL worlds, slow readers, tests, and the tables of states in docs/path.md

New properties: answers keep their order, an attempt's end is told once, nothing is written to a connection whose end has come. cancelling has no step to end in its table: such a session is never usable, so it can't happen.

--- a/src/explore/world.cpp
+++ b/src/explore/world.cpp
@@ -15,6 +15,15 @@
 
 constexpr Time kLongestPass = 500ms;
 
+constexpr const char* kSchema = R"(type Query {
+  r1: Int @sql(statement: "select a /*hw id=r1 */", class: "lookup")
+  r2: Int @sql(statement: "select a /*hw id=r2 */", class: "lookup")
+}
+type Mutation {
+  g1: Int @sql(statement: "insert 1 /*hw id=g1 */", class: "load")
+  g2: Int @sql(statement: "insert 2 /*hw id=g2 */", class: "load")
+})";
+
 config::Config read(const Plan& plan) {
   auto text = fmt::format(
       R"yaml(gateway: {{name: gw0, seed: 5, threads: {}, of: 1, number: 0}}
@@ -127,7 +136,8 @@
       config(read(given)),
       metrics(router::class_names(config.module)),
       front(config.module),
-      tracer(config.trace, config.name, "", Time::zero()) {}
+      tracer(config.trace, config.name, "", Time::zero()),
+      bound(path::bind_schema(config, kSchema, "explore")) {}
 
 // ---- wires ---------------------------------------------------------------------------------------------
 struct Sim::WireState final : path::Wire {
@@ -141,6 +151,7 @@
   std::optional<Time> arrived;      // since when bytes of it wait, where a stall has hit them
   bool end = false, reset = false;  // on their way to the router, after what waits
   bool seen = false;                // that it is known to the router's kernel
+  std::size_t room = 0;             // where the client's side has a limit
   bool gone = false;                // its end was read
   Session session;
   Hash transcript;
@@ -158,8 +169,13 @@
     std::string bytes;
     for (const auto piece : pieces) bytes += piece;
     log("write", bytes);
+    if (to == To::engine && seen && end && !bytes.starts_with('X'))
+      sim->break_property("nothing is written to a connection whose end has come",
+                          engine_name(peer) + " had closed it");
     if (reset || end) return bytes.size();  // it crosses the end, and nobody reads it
     if (to == To::client) {
+      if (sim->setting_.plan.room > 0) bytes.resize(std::min<std::size_t>(bytes.size(), room));
+      room -= bytes.size();
       sim->client_reads(*this, bytes);
     } else {
       session.in += bytes;
@@ -213,13 +229,20 @@
     return std::make_unique<SimTimer>(std::move(state));
   }
   void defer(std::function<void()> then) override { sim_.deferred_.push_back(std::move(then)); }
-  void tell(path::Told what) override { sim_.told_.push_back(std::move(what)); }
+  void tell(path::Told what) override {
+    if (const auto* end = std::get_if<router::AttemptEnd>(&what.what))
+      if (!ended_.emplace(end->ticket, end->attempt).second)
+        sim_.break_property("the end of an attempt is told once",
+                            fmt::format("attempt {}", end->attempt + 1));
+    sim_.told_.push_back(std::move(what));
+  }
   void log(Level, std::string) override {}
   bool built = false;  // the shard's own timer is made first
 
  private:
   Sim& sim_;
   std::uint16_t shard_;
+  std::set<std::pair<path::Ticket, AttemptIndex>> ended_;
 };
 
 class Sim::Strands final : public path::StrandWorld {
@@ -256,11 +279,13 @@
   const auto& plan = setting.plan;
   strands_ = std::make_unique<Strands>(*this);
   strand_ = std::make_unique<path::Strand>(*strands_, setting.config, setting.metrics, 5, plan.shards);
+  graphql_ = std::make_unique<path::Graphql>(setting.config, setting.bound, [this] { return now_; });
   for (std::uint16_t i = 0; i < plan.shards; ++i) {
     worlds_.push_back(std::make_unique<ShardWorld>(*this, i));
     shards_.push_back(std::make_unique<path::Shard>(*worlds_[i], setting.config, setting.metrics,
                                                     setting.front, setting.tracer, i, plan.shards));
     worlds_[i]->built = true;
+    shards_[i]->serve(*graphql_);
   }
   strand_->run();
   told_.push_back({now_, listed()});
@@ -278,8 +303,17 @@
     client.reader = std::make_unique<http::Parser>(http::Role::response);
     wire->connecting = false;
     shards_[shard]->serve(wire, "");
-    for (std::size_t n = 0; n < plan.clients[i].size(); ++n)
-      requests_[plan.clients[i][n].id] = {i, n, plan.clients[i][n], {}, {}, false, {}, 0};
+    wire->room = plan.room;
+    for (std::size_t n = 0; n < plan.clients[i].size(); ++n) {
+      const auto& asked = plan.clients[i][n];
+      requests_[asked.id] = {i, n, asked, {}, {}, false};
+      for (const auto& id : asked.graphql.empty() ? std::vector{asked.id} : asked.statements) {
+        auto& statement = statements_[id];
+        statement.cls = asked.graphql.empty() ? asked.cls : id.starts_with('g') ? "load" : "lookup";
+        statement.rows = asked.rows;
+        statement.of.push_back(asked.id);
+      }
+    }
   }
 }
 
@@ -337,9 +371,9 @@
         auto& target = *wires_.at(startup->process - 1);
         s.running = target.session.running;  // what it is meant for
         s.cancel_target = target.session.statements;
-        for (auto& [id, request] : requests_)
-          for (auto& attempt : request.attempts)
-            if (attempt.wire == target.id && id == target.session.running) attempt.cancel_asked = true;
+        const auto hit = statements_.find(target.session.running);
+        if (hit != statements_.end())
+          for (auto& attempt : hit->second.attempts) attempt.cancel_asked |= attempt.wire == target.id;
         continue;
       }
       sql::put_authentication_ok(wire.to_router);
@@ -369,21 +403,20 @@
         fmt::format("{} was sent {} while {} ran on that connection", engine_name(wire.peer), id, s.running));
   s.running = id.empty() ? "probe" : id;
   ++s.statements;
-  const auto found = requests_.find(id);
-  if (found == requests_.end()) return;
-  auto& request = found->second;
-  const auto& cls = request.asked.cls;
-  if (request.status)
-    break_property(
-        "nothing is sent after the final answer",
-        fmt::format("{} went to {} after its answer {}", id, engine_name(wire.peer), *request.status));
-  for (const auto& attempt : request.attempts) {
+  const auto found = statements_.find(id);
+  if (found == statements_.end()) return;
+  auto& asked = found->second;
+  const auto answered = [this](const std::string& of) { return requests_.at(of).status.has_value(); };
+  if (std::ranges::all_of(asked.of, answered))
+    break_property("nothing is sent after the final answer",
+                   fmt::format("{} went to {}", id, engine_name(wire.peer)));
+  for (const auto& attempt : asked.attempts) {
     if (attempt.out)
       break_property("no two attempts of one request are out at once",
                      fmt::format("{} went to {} while it was out on {}", id, engine_name(wire.peer),
                                  engine_name(attempt.engine)));
-    if (cls == "load" && !attempt.proven_unrun)
-      break_property("an unsafe request is sent again only if no attempt ran",
+    if (asked.cls == "load" && !attempt.proven_unrun)
+      break_property("an unsafe statement is sent again only if no attempt ran",
                      fmt::format("{} went to {} though it may have run on {}", id, engine_name(wire.peer),
                                  engine_name(attempt.engine)));
   }
@@ -391,18 +424,29 @@
       (told_draining_[wire.peer] || now_ > drain_told_[wire.peer] + setting_.config.module.drain_grace))
     break_property("no engine is sent to once it is known to be draining",
                    fmt::format("{} went to {}", id, engine_name(wire.peer)));
-  if (request.arrived && now_ >= *request.arrived + request.asked.timeout)
+  const auto late = [this](const std::string& of) {
+    const auto& request = requests_.at(of);
+    return request.arrived && now_ >= *request.arrived + request.asked.timeout;
+  };
+  if (std::ranges::any_of(asked.of, late))
     break_property("nothing is sent after the deadline",
                    fmt::format("{} went to {}", id, engine_name(wire.peer)));
-  request.attempts.push_back({wire.id, wire.peer, true, false, false});
-  ++request.ran;
+  asked.attempts.push_back({wire.id, wire.peer, true, false, false});
+  ++asked.ran;
 }
 
 std::string Sim::answer_of(const Session& session, unsigned rows) const {
   std::string out;
   if (session.extended) sql::put_parse_complete(out), sql::put_bind_complete(out);
-  sql::put_columns(out, {{"a", 23}});
-  for (unsigned i = 0; i < rows; ++i) sql::put_row(out, {"1"});
+  if (session.running.starts_with('g')) {
+    sql::put_no_data(out);
+    sql::put_complete(out, "INSERT 0 1");
+    sql::put_ready(out);
+    return out;
+  }
+  sql::put_columns(out, {{"a", 25}});
+  for (unsigned i = 0; i < rows; ++i)
+    sql::put_row(out, {sql::Value(setting_.plan.liar ? "another" : session.running)});
   sql::put_complete(out, fmt::format("SELECT {}", rows));
   sql::put_ready(out);
   return out;
@@ -410,15 +454,15 @@
 
 // The attempt on this wire is over, as far as sockets show.
 void Sim::settle(const std::string& id, std::uint16_t wire, bool proven_unrun) {
-  const auto found = requests_.find(id);
-  if (found == requests_.end()) return;
+  const auto found = statements_.find(id);
+  if (found == statements_.end()) return;
   for (auto& attempt : found->second.attempts)
     if (attempt.wire == wire && attempt.out) attempt.out = false, attempt.proven_unrun = proven_unrun;
 }
 
 void Sim::lost_wire(WireState& wire) {
-  for (auto& [id, request] : requests_)
-    for (auto& attempt : request.attempts)
+  for (auto& [id, statement] : statements_)
+    for (auto& attempt : statement.attempts)
       if (attempt.wire == wire.id) attempt.out = false;
   wire.session.running.clear();
 }
@@ -444,17 +488,22 @@
       request.status = client.reader->status();
       if (!request.arrived && *request.status != 408)
         break_property("one final answer", request.asked.id + " was answered before it was whole");
+      client.body.clear();
+      if (!request.asked.graphql.empty()) continue;  // told in the body
       if (*request.status == 200 && request.arrived && now_ > *request.arrived + request.asked.timeout)
         break_property("no answer is served after the deadline", request.asked.id);
-      const bool may_have_run =
-          std::ranges::any_of(request.attempts, [](const Attempt& a) { return !a.proven_unrun; });
-      client.body.clear();
+      const auto& attempts = statements_.at(request.asked.id).attempts;
+      const bool may_have_run = !std::ranges::all_of(attempts, &Attempt::proven_unrun);
       if (request.asked.cls == "load" && *request.status == 503 && may_have_run)
         break_property("an unsafe request is refused only if no attempt ran", request.asked.id);
     }
     if (step.event == Event::end) {
       auto& request = requests_.at(script[client.answered].id);
       request.whole = true;
+      const bool told = request.asked.graphql.empty() && *request.status == 200;
+      if (told && client.body.find(request.asked.id) == std::string::npos)
+        break_property("answers keep the order of their requests",
+                       request.asked.id + " got another's answer");
       ++client.answered;
     }
   }
@@ -541,6 +590,7 @@
       put(Kind::send, i);
       if (splits_ > 0) put(Kind::send, i, 1), put(Kind::send, i, 2);
     }
+    if (wire.room < setting_.plan.room) put(Kind::reads, i);
     if (leaves_ > 0 && client.sent > 0) put(Kind::leave, i, 0), put(Kind::leave, i, 1);
   }
   for (const auto& wire : wires_) {
@@ -604,11 +654,20 @@
       }
       const auto& asked = setting_.plan.clients[choice.a][client.sent++];
       std::string text;
-      http::put_request(
-          text, "POST", "/v1/query", "a",
-          fmt::format(R"({{"statement":"select x /*hw id={} */","class":"{}"}})", asked.id, asked.cls),
-          {{"heronwell-timeout-ms", std::to_string(asked.timeout.count())},
-           {"connection", asked.keep_alive ? "keep-alive" : "close"}});
+      const auto timeout = std::to_string(asked.timeout.count());
+      std::vector<http::Field> fields{{"heronwell-timeout-ms", timeout},
+                                      {"connection", asked.keep_alive ? "keep-alive" : "close"}};
+      if (!asked.key.empty()) fields.push_back({"idempotency-key", asked.key});
+      if (!asked.graphql.empty()) {
+        fields.push_back({"content-type", "application/json"});
+        http::put_request(text, "POST", "/graphql", "a", "{\"query\":" + path::quoted(asked.graphql) + "}",
+                          fields);
+      } else {
+        http::put_request(
+            text, "POST", "/v1/query", "a",
+            fmt::format(R"({{"statement":"select x /*hw id={} */","class":"{}"}})", asked.id, asked.cls),
+            fields);
+      }
       if (choice.b != 0) {
         --splits_;
         const auto cut = choice.b == 1 ? 1 : text.size() - 1;
@@ -670,8 +729,8 @@
     case Kind::answer: {
       auto& wire = *wires_[choice.a];
       auto& s = wire.session;
-      const auto found = requests_.find(s.running);
-      const auto rows = found == requests_.end() ? 1 : found->second.asked.rows;
+      const auto found = statements_.find(s.running);
+      const auto rows = found == statements_.end() ? 1 : found->second.rows;
       switch (static_cast<Answering>(choice.b)) {
         case Answering::whole:
           wire.to_router += answer_of(s, rows);
@@ -787,6 +846,14 @@
     case Kind::stall:
       --stalls_;
       return pass(true);
+    case Kind::reads: {
+      auto& wire = *wires_[clients_[choice.a].wire];
+      wire.room = setting_.plan.room;
+      wire.log("room");
+      if (!std::exchange(wire.room_wanted, false)) return;
+      if (const auto user = wire.user.lock()) user->writable();
+      return;
+    }
   }
 }
 
@@ -795,8 +862,8 @@
   wire.session.ended = std::exchange(wire.session.running, {});
   wire.session.extended = false;
   wire.session.unrun = proven_unrun;
-  const auto found = requests_.find(wire.session.ended);
-  if (proven_unrun && found != requests_.end() && found->second.ran > 0) --found->second.ran;
+  const auto found = statements_.find(wire.session.ended);
+  if (proven_unrun && found != statements_.end() && found->second.ran > 0) --found->second.ran;
 }
 
 // What this shows the router: a request is whole, an attempt over.
@@ -852,6 +919,7 @@
     put(out, (wire->connecting ? 1U : 0U) | (wire->reading ? 2U : 0U) | (wire->closed ? 4U : 0U) |
                  (wire->end ? 8U : 0U) | (wire->reset ? 16U : 0U) | (wire->seen ? 32U : 0U) |
                  (s.cancel_read ? 64U : 0U) | (s.unrun ? 128U : 0U) | (wire->gone ? 256U : 0U));
+    put(out, wire->room << 1 | (wire->room_wanted ? 1U : 0U));
     put(out, wire->arrived.value_or(Time::zero()));
     put(out, s.running);
     put(out, s.ended);
@@ -881,7 +949,10 @@
   for (const auto& [id, request] : requests_) {
     put(out, request.arrived.value_or(Time::zero()));
     put(out, static_cast<std::uint64_t>(request.status.value_or(0)) << 8 | (request.whole ? 1U : 0U));
-    for (const auto& a : request.attempts)
+  }
+  for (const auto& [id, statement] : statements_) {
+    put(out, statement.attempts.size() << 8 | statement.ran);
+    for (const auto& a : statement.attempts)
       put(out, static_cast<std::uint64_t>(wires_[a.wire]->peer) << 8 | (a.out ? 1U : 0U) |
                    (a.proven_unrun ? 2U : 0U) | (a.cancel_asked ? 4U : 0U));
   }
@@ -895,9 +966,9 @@
 std::optional<Choice> Sim::fair() const {
   std::vector<Choice> all;
   choices(all);
-  constexpr std::array kOrder{Kind::deferred, Kind::told,   Kind::ordered, Kind::connected,
-                              Kind::deliver,  Kind::over,   Kind::timer,   Kind::due,
-                              Kind::cancel,   Kind::finish, Kind::answer,  Kind::send};
+  constexpr std::array kOrder{Kind::reads,   Kind::deferred, Kind::told,  Kind::ordered, Kind::connected,
+                              Kind::deliver, Kind::over,     Kind::timer, Kind::due,     Kind::cancel,
+                              Kind::finish,  Kind::answer,   Kind::send};
   for (const auto kind : kOrder)
     for (const auto& choice : all)
       if (choice.kind == kind && (choice.b == 0 || kind == Kind::over)) return choice;
@@ -932,8 +1003,9 @@
 std::string Sim::outcome() const {
   std::string out;
   for (const auto& [id, request] : requests_)
-    out += fmt::format("{} answer {}{} sent {} ran {}; ", id, request.status.value_or(0),
-                       request.whole ? "" : " cut", request.attempts.size(), request.ran);
+    out += fmt::format("{} answer {}{}; ", id, request.status.value_or(0), request.whole ? "" : " cut");
+  for (const auto& [id, statement] : statements_)
+    out += fmt::format("{} sent {} ran {}; ", id, statement.attempts.size(), statement.ran);
   return out;
 }
 
@@ -953,7 +1025,8 @@
       const auto& client = clients_[choice.a];
       if (!client.rest.empty()) return fmt::format("client {} sends the rest", choice.a + 1);
       const auto& asked = setting_.plan.clients[choice.a][client.sent];
-      return fmt::format("client {} sends {} ({}){}", choice.a + 1, asked.id, asked.cls,
+      return fmt::format("client {} sends {} ({}){}", choice.a + 1, asked.id,
+                         asked.graphql.empty() ? asked.cls : asked.graphql,
                          choice.b == 0   ? ""
                          : choice.b == 1 ? ", its first byte"
                                          : ", all but its last byte");
@@ -1000,6 +1073,9 @@
       return "time passes";
     case Kind::stall:
       return fmt::format("the router has no turn for {} ms", setting_.plan.stall.count());
+
+    case Kind::reads:
+      return fmt::format("client {} reads what has come", choice.a + 1);
   }
   return "";
 }
--- a/src/explore/world.hpp
+++ b/src/explore/world.hpp
@@ -26,7 +26,9 @@
   std::string id{}, cls{};
   std::chrono::milliseconds timeout{1000};
   bool keep_alive = true;
-  unsigned rows = 1;  // of its answer
+  unsigned rows = 1;                      // of its answer
+  std::string graphql{}, key{};           // a document, in place of the statement `id`; its idempotency key
+  std::vector<std::string> statements{};  // that the document runs: g1 and g2 are loads, r1 and r2 lookups
 };
 
 // What a world is, and how many times each unlikely thing may happen in one run of it: the bounds of the
@@ -46,6 +48,8 @@
   unsigned stalls = 0;       // the whole router without a turn for a while
   unsigned passes = 6;       // times that pass with nothing else to come
   std::chrono::milliseconds stall{400};
+  unsigned room = 0;       // bytes that a client's side takes before it must read; 0: no limit
+  bool liar = false;       // engines answer with rows of another request: what the search must find
   bool pipelined = false;  // clients send their next request before an answer
 };
 
@@ -68,6 +72,7 @@
   list,        // engine a is told draining
   pass,        // time goes on to the next thing that is due
   stall,       // the router has no turn for a while
+  reads,       // client a reads what has come, and has room again
 };
 enum class Answering : std::uint8_t { whole, half, turned_away, error, reset };
 
@@ -96,6 +101,7 @@
   path::Metrics metrics;
   router::Front front;
   trace::Tracer tracer;
+  std::shared_ptr<const graphql::Bound> bound;
 };
 
 class Sim {
@@ -156,6 +162,11 @@
     std::optional<Time> arrived;  // in the router's reach
     std::optional<int> status;    // of its answer, once begun
     bool whole = false;
+  };
+  struct Statement {
+    std::string cls;
+    std::vector<std::string> of;  // the requests that ask for it
+    unsigned rows = 1;
     std::vector<Attempt> attempts;
     unsigned ran = 0;
   };
@@ -191,6 +202,8 @@
   std::vector<std::vector<path::Order>> orders_;
   std::vector<Client> clients_;
   std::map<std::string, Request> requests_;
+  std::map<std::string, Statement> statements_;
+  std::unique_ptr<path::Graphql> graphql_;
   std::vector<bool> draining_, told_draining_;  // by engine; told: the shards know
   std::vector<Time> drain_told_;
   unsigned splits_, leaves_, failures_, drains_, idle_closes_, late_, stalls_, passes_;
--- a/src/explore/worlds.cpp
+++ b/src/explore/worlds.cpp
@@ -84,6 +84,33 @@
                    .failures = 1,
                    .stalls = 1,
                    .passes = 2});
+  plans.push_back({.name = "slow",
+                   .about = "a client that reads slowly while an answer streams, and may leave",
+                   .clients = {{{.id = "q1", .cls = "lookup", .keep_alive = false, .rows = 8}}},
+                   .hold = 40,
+                   .leaves = 1,
+                   .passes = 1,
+                   .room = 100});
+  plans.push_back({.name = "two-loads",
+                   .about = "a GraphQL document of two loads, the outcome of the first not known",
+                   .engines = 2,
+                   .clients = {{{.id = "d1", .graphql = "mutation{g1 g2}", .statements = {"g1", "g2"}}}},
+                   .leaves = 1,
+                   .failures = 1,
+                   .passes = 2});
+  plans.push_back({.name = "key",
+                   .about = "a client repeats its idempotency key while the first run is out",
+                   .clients = {{{.id = "d1", .graphql = "mutation{g1}", .key = "k", .statements = {"g1"}}},
+                               {{.id = "d2", .graphql = "mutation{g1}", .key = "k", .statements = {"g1"}}}},
+                   .leaves = 1,
+                   .failures = 1,
+                   .passes = 1});
+  plans.push_back({.name = "document",
+                   .about = "a GraphQL document of two lookups, and a client that leaves",
+                   .clients = {{{.id = "d1", .graphql = "{r1 r2}", .statements = {"r1", "r2"}}}},
+                   .leaves = 1,
+                   .failures = 1,
+                   .passes = 1});
   return plans;
 }
 
--- a/src/path/engine.cpp
+++ b/src/path/engine.cpp
@@ -294,7 +294,7 @@
     end(sql::Seen::statement_error, error_code_);
   else
     end(cancelling ? sql::Seen::cancelled : sql::Seen::complete);
-  if (cancelling || !usable) close(usable ? LinkEvent::end : LinkEvent::spoilt);
+  if (cancelling || !usable) close(LinkEvent::spoilt);
 }
 
 // Held up to a size; then the strand is asked whether this answer may begin, and nothing is read meanwhile.
--- a/src/path/graphql.cpp
+++ b/src/path/graphql.cpp
@@ -69,7 +69,7 @@
   }
 }
 
-Graphql::Graphql(const Config& config, std::unique_ptr<graphql::Bound> bound, graphql::Clock now)
+Graphql::Graphql(const Config& config, std::shared_ptr<const graphql::Bound> bound, graphql::Clock now)
     : config_(config.graphql),
       now_(std::move(now)),
       tenants_(router::tenant_names(config.module)),
--- a/src/path/graphql.hpp
+++ b/src/path/graphql.hpp
@@ -20,7 +20,7 @@
 // What all shards share.
 class Graphql {
  public:
-  Graphql(const Config& config, std::unique_ptr<graphql::Bound> bound, graphql::Clock now);
+  Graphql(const Config& config, std::shared_ptr<const graphql::Bound> bound, graphql::Clock now);
 
   [[nodiscard]] const Config::Graphql& config() const { return config_; }
   [[nodiscard]] const graphql::Bound& bound() const { return *bound_; }
@@ -38,7 +38,7 @@
   const Config::Graphql& config_;
   graphql::Clock now_;
   std::vector<std::string> tenants_, headers_;
-  std::unique_ptr<graphql::Bound> bound_;
+  std::shared_ptr<const graphql::Bound> bound_;
   std::unique_ptr<graphql::Documents> documents_;
   std::mutex mutex_;
   graphql::Keys keys_;
--- a/src/path/states.hpp
+++ b/src/path/states.hpp
@@ -81,7 +81,6 @@
     Line<Link, LinkEvent>{Link::busy, LinkEvent::spoilt, Link::closed},
     Line<Link, LinkEvent>{Link::busy, LinkEvent::lost, Link::closed},
     Line<Link, LinkEvent>{Link::busy, LinkEvent::leave, Link::closed},
-    Line<Link, LinkEvent>{Link::cancelling, LinkEvent::end, Link::closed},
     Line<Link, LinkEvent>{Link::cancelling, LinkEvent::spoilt, Link::closed},
     Line<Link, LinkEvent>{Link::cancelling, LinkEvent::lost, Link::closed},
     Line<Link, LinkEvent>{Link::cancelling, LinkEvent::leave, Link::closed},
--- /dev/null
+++ b/tests/explore/explore_test.cpp
@@ -0,0 +1,107 @@
+// The explorer itself, and a small fixed search of every world for each build.
+#include <gtest/gtest.h>
+
+#include <fstream>
+#include <iterator>
+
+#include "explore/search.hpp"
+
+namespace heronwell::explore {
+namespace {
+
+std::string told(const Found& found) {
+  return found.story ? found.story->broken.property + ": " + found.story->broken.detail : "";
+}
+
+class Worlds : public testing::TestWithParam<Plan> {};
+
+TEST_P(Worlds, KeepTheirProperties) {
+  const auto found = search(GetParam(), {.states = 2500, .threads = 2});
+  EXPECT_EQ(told(found), "");
+  EXPECT_FALSE(found.outcomes.empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(All, Worlds, testing::ValuesIn(worlds()), [](const auto& world) {
+  auto name = world.param.name;
+  std::erase(name, '-');
+  return name;
+});
+
+Plan tiny() {
+  return {
+      .name = "tiny", .clients = {{{.id = "q1", .cls = "lookup"}}}, .leaves = 1, .failures = 1, .passes = 1};
+}
+
+TEST(Search, IsTheSameOnAnyNumberOfThreads) {
+  const auto one = search(tiny(), {.states = 3000, .threads = 1});
+  const auto three = search(tiny(), {.states = 3000, .threads = 3});
+  EXPECT_EQ(one.states, three.states);
+  EXPECT_EQ(one.edges, three.edges);
+  EXPECT_EQ(one.outcomes, three.outcomes);
+}
+
+// Merging states loses nothing: the full tree, to the same depth, meets the same pairs and ends.
+TEST(Search, OfMergedStatesMeetsWhatTheFullTreeMeets) {
+  const Plan plan{.name = "tiny", .clients = {{{.id = "q1", .cls = "lookup"}}}, .leaves = 1, .passes = 0};
+  const auto merged = search(plan, {.states = 1'000'000, .depth = 9, .threads = 2});
+  const auto full = search(plan, {.states = 1'000'000, .depth = 9, .threads = 2, .exact = true});
+  EXPECT_LT(merged.states, full.states);
+  EXPECT_EQ(merged.outcomes, full.outcomes);
+  ASSERT_EQ(merged.met.size(), full.met.size());
+  for (const auto& [pair, met] : merged.met) EXPECT_TRUE(full.met.contains(pair));
+}
+
+TEST(Search, FindsEnginesThatAnswerForAnotherAndTheStoryPlaysAgain) {
+  auto plan = *world_named("one");
+  plan.liar = true;
+  const auto found = search(plan, {.states = 3000, .threads = 2});
+  ASSERT_TRUE(found.story);
+  EXPECT_EQ(found.story->broken.property, "answers keep the order of their requests");
+  EXPECT_LE(found.story->choices.size(), 10U);
+  const auto again = read_story(write_story(*found.story, plan), "story");
+  EXPECT_EQ(again.choices, found.story->choices);
+  std::vector<std::string> lines;
+  const auto broken = replay(plan, again.choices, lines);
+  ASSERT_TRUE(broken);
+  EXPECT_EQ(broken->detail, found.story->broken.detail);
+  EXPECT_EQ(lines.size(), again.choices.size());
+}
+
+TEST(Search, NoPairWithoutALineOfItsTableIsMet) {
+  for (const auto* name : {"stream", "cancel", "pipeline"})
+    for (const auto& [pair, met] : search(*world_named(name), {.states = 2500, .threads = 2}).met)
+      EXPECT_NE(met.to, "") << std::get<0>(pair) << ": " << std::get<1>(pair) << " " << std::get<2>(pair);
+}
+
+TEST(Stories, ThatAreNoStoriesAreRefusedWithTheirPlace) {
+  try {
+    (void)read_story("world: one\nchoices:\n  - \"1 2\"\n", "s.yaml");
+    FAIL();
+  } catch (const yaml::Error& error) {
+    EXPECT_NE(std::string(error.what()).find("s.yaml:"), std::string::npos) << error.what();
+    EXPECT_NE(std::string(error.what()).find("expected three whole numbers"), std::string::npos)
+        << error.what();
+  }
+}
+
+// What was found once stays mended.
+TEST(Stories, AThreadStoppedBetweenTheDecisionAndTheWriteServesNothingLate) {
+  const std::vector<Choice> choices{{Kind::send},      {Kind::deliver, 0},   {Kind::told},
+                                    {Kind::ordered},   {Kind::connected, 1}, {Kind::deliver, 1},
+                                    {Kind::answer, 1}, {Kind::deliver, 1},   {Kind::told},
+                                    {Kind::stall},     {Kind::ordered}};
+  Setting setting(*world_named("stall"));
+  Sim sim(setting);
+  for (const auto& choice : choices) sim.take(choice);
+  EXPECT_FALSE(sim.broken());
+  EXPECT_EQ(sim.outcome(), "q1 answer 504; q1 sent 1 ran 1; ");
+}
+
+TEST(Tables, AreThoseOfTheDocs) {
+  std::ifstream file(std::string(HERONWELL_DOCS) + "/path.md");
+  const std::string text{std::istreambuf_iterator<char>(file), {}};
+  EXPECT_NE(text.find(tables()), std::string::npos) << "docs/path.md: paste `heronwell explore tables`";
+}
+
+}  // namespace
+}  // namespace heronwell::explore
