--- /dev/null
+++ b/model/attempt.pml
@@ -0,0 +1,376 @@
+/* The life of attempts and of the engine connections under them, beside the code: the same states and steps
+ * as src/path/states.hpp (a test compares the lines below with the tables there, both ways), one strand, one
+ * shard, two mailboxes that lose no order, engines that may do anything.
+ *
+ *   spin -DONE_REQUEST -a attempt.pml && cc -O2 -o pan pan.c && ./pan   one request, two attempts, two connections
+ *   spin -DTRIES=1 -DLINKS=1 -a ...                                      two requests after each other on one
+ * and -DUNSAFE for a first request that may not run twice.
+ *
+ * -DPLANT_REUSE, -DPLANT_RESEND, -DPLANT_ORDER, -DPLANT_LATE_DIAL: one guard off each; pan must then find it. */
+
+#ifndef TRIES
+#define TRIES 2   /* attempts of one request, at most 2 */
+#endif
+#ifndef LINKS
+#define LINKS 2   /* connections to the engine, at most 2 */
+#endif
+#define NONE 255
+
+mtype = { dialling, starting, idle, busy, cancelling, closed,
+          fresh, written, asking, streaming, called_off, ended,
+          e_connected, e_ready, e_write, e_drop, e_stop, e_end, e_spoilt, e_lost, e_leave,
+          e_dial, e_outgrow, e_stream,
+          nothing, answered, refused, gone,      /* on its way from an engine */
+          o_start, o_stop, o_deliver, o_drain,   /* orders */
+          t_served, t_unrun, t_unknown };        /* told: how an attempt ended */
+
+typedef Request {
+  bool unsafe;
+  bool out, final;         /* the strand's book: an attempt out; its final answer decided, */
+  bool told;               /* and given to its client by the shard */
+  byte tries;
+  bool may_have_run;       /* an attempt ended without proof that it did not run */
+  byte at_engines;         /* statements of it that sockets show as out */
+  byte ran
+};
+typedef Connection {
+  mtype state;
+  byte request, try;       /* whose attempt is on it; NONE */
+  mtype coming;            /* what the engine has sent */
+  byte statement;          /* of the engine's session: whose it runs; NONE */
+  byte number;             /* of that statement */
+  bool cancel;             /* a cancel request is out, */
+  byte meant               /* for the statement of this number */
+};
+
+Request request[2];
+mtype attempt[4];  /* two of each request */
+#define NUMBER(r, n) ((r) * 2 + (n))
+Connection link[2];
+chan orders = [4] of { mtype, byte, byte };
+chan told = [4] of { mtype, byte, byte };
+bool draining, drain_known;
+
+inline link_step(l, event) {
+  skip;  /* an else may lead here */
+  if
+  :: link[l].state == dialling && event == e_connected -> link[l].state = starting
+  :: link[l].state == dialling && event == e_drop -> link[l].state = dialling
+  :: link[l].state == dialling && event == e_lost -> link[l].state = closed
+  :: link[l].state == dialling && event == e_leave -> link[l].state = closed
+  :: link[l].state == starting && event == e_ready -> link[l].state = idle
+  :: link[l].state == starting && event == e_drop -> link[l].state = starting
+  :: link[l].state == starting && event == e_lost -> link[l].state = closed
+  :: link[l].state == starting && event == e_leave -> link[l].state = closed
+  :: link[l].state == idle && event == e_write -> link[l].state = busy
+  :: link[l].state == idle && event == e_lost -> link[l].state = closed
+  :: link[l].state == idle && event == e_leave -> link[l].state = closed
+  :: link[l].state == busy && event == e_stop -> link[l].state = cancelling
+  :: link[l].state == busy && event == e_end -> link[l].state = idle
+  :: link[l].state == busy && event == e_spoilt -> link[l].state = closed
+  :: link[l].state == busy && event == e_lost -> link[l].state = closed
+  :: link[l].state == busy && event == e_leave -> link[l].state = closed
+  :: link[l].state == cancelling && event == e_spoilt -> link[l].state = closed
+  :: link[l].state == cancelling && event == e_lost -> link[l].state = closed
+  :: link[l].state == cancelling && event == e_leave -> link[l].state = closed
+  :: else -> assert(false)  /* no line of the table */
+  fi
+}
+
+inline try_step(i, event) {
+  skip;  /* an else may lead here */
+  if
+  :: attempt[i] == fresh && event == e_dial -> attempt[i] = dialling
+  :: attempt[i] == fresh && event == e_write -> attempt[i] = written
+  :: attempt[i] == fresh && event == e_end -> attempt[i] = ended
+  :: attempt[i] == dialling && event == e_write -> attempt[i] = written
+  :: attempt[i] == dialling && event == e_stop -> attempt[i] = called_off
+  :: attempt[i] == dialling && event == e_end -> attempt[i] = ended
+  :: attempt[i] == written && event == e_outgrow -> attempt[i] = asking
+  :: attempt[i] == written && event == e_stop -> attempt[i] = called_off
+  :: attempt[i] == written && event == e_end -> attempt[i] = ended
+  :: attempt[i] == asking && event == e_stream -> attempt[i] = streaming
+  :: attempt[i] == asking && event == e_stop -> attempt[i] = called_off
+  :: attempt[i] == asking && event == e_end -> attempt[i] = ended
+  :: attempt[i] == streaming && event == e_stop -> attempt[i] = called_off
+  :: attempt[i] == streaming && event == e_end -> attempt[i] = ended
+  :: attempt[i] == called_off && event == e_end -> attempt[i] = ended
+  :: else -> assert(false)
+  fi
+}
+
+/* The end of an attempt is told once; what was told already stays told. */
+inline end_try(l, how) {
+  skip;  /* an else may lead here */
+  if
+  :: link[l].request != NONE ->
+     if
+     :: attempt[NUMBER(link[l].request, link[l].try)] != ended ->
+        try_step(NUMBER(link[l].request, link[l].try), e_end);
+        told!how(link[l].request, link[l].try)
+     :: else
+     fi;
+     link[l].request = NONE;
+     link[l].try = 0
+  :: else
+  fi
+}
+
+/* Sockets show that the statement is no longer out: answered and read, lost, or cancelled by its sender. */
+inline not_out(l) {
+  skip;  /* an else may lead here */
+  if
+  :: link[l].statement != NONE && request[link[l].statement].at_engines > 0 ->
+     request[link[l].statement].at_engines--
+  :: else
+  fi
+}
+
+inline write_statement(l) {
+  link_step(l, e_write);
+  try_step(NUMBER(link[l].request, link[l].try), e_write);
+  assert(link[l].statement == NONE);                       /* never before ReadyForQuery */
+  assert(!drain_known);                                    /* no drained engine is sent to */
+  assert(!request[link[l].request].told);                  /* nothing after the final answer */
+  assert(request[link[l].request].at_engines == 0);        /* copies are off: never two out */
+  assert(!request[link[l].request].unsafe || request[link[l].request].ran == 0);
+  link[l].statement = link[l].request;
+  link[l].number++;
+  request[link[l].request].at_engines++;
+  request[link[l].request].ran++
+}
+
+proctype strand() {
+  byte r, n;
+  mtype how;
+end:
+  do
+  :: atomic { (nfull(orders) && nempty(told)) -> told?how(r, n);
+       if
+       :: request[r].out && n + 1 == request[r].tries ->
+          request[r].out = false;
+          if
+          :: how == t_served -> request[r].final = true; orders!o_deliver(r, 0)
+          :: how == t_unknown -> request[r].may_have_run = true
+          :: else
+          fi
+       :: else  /* ended here before: no longer of interest */
+       fi;
+       r = 0; n = 0; how = nothing }
+  :: atomic { (!request[0].final && !request[0].out && request[0].tries < TRIES && !draining && nfull(orders)) -> r = 0; goto send }
+  :: atomic { (!request[1].final && !request[1].out && request[1].tries < TRIES && !draining && nfull(orders)) -> r = 1; goto send }
+  :: atomic { (request[0].out && nfull(orders)) -> r = 0; goto time_out }
+  :: atomic { (request[1].out && nfull(orders)) -> r = 1; goto time_out }
+  :: atomic { (!request[0].final && !request[0].out && request[0].tries == TRIES && nfull(orders)) ->
+       request[0].final = true; orders!o_deliver(0, 0) }
+  :: atomic { (!request[1].final && !request[1].out && request[1].tries == TRIES && nfull(orders)) ->
+       request[1].final = true; orders!o_deliver(1, 0) }
+  :: atomic { (!draining && nfull(orders)) -> draining = true; orders!o_drain(0, 0) }
+  od;
+send:
+  atomic {
+    if
+#ifndef PLANT_RESEND
+    :: request[r].unsafe && request[r].may_have_run -> request[r].final = true; orders!o_deliver(r, 0)
+#endif
+    :: else ->
+       request[r].out = true;
+       request[r].tries++;
+       orders!o_start(r, request[r].tries - 1)
+    fi;
+    r = 0
+  };
+  goto end;
+time_out:  /* its time is over: stopped, and ended in the books at once */
+  atomic {
+    request[r].out = false;
+    request[r].may_have_run = true;
+#ifndef PLANT_ORDER
+    orders!o_stop(r, request[r].tries - 1);
+#endif
+    r = 0
+  };
+  goto end
+}
+
+proctype shard() {
+  byte r, n, l;
+  mtype what;
+end:
+  do
+  :: atomic { orders?what(r, n) ->
+       if
+       :: what == o_deliver ->
+          assert(!request[r].told);  /* one final answer */
+          request[r].told = true
+       :: what == o_drain ->
+          drain_known = true;
+          l = 0;
+          do
+          :: l < LINKS -> if :: link[l].state == idle -> link_step(l, e_leave) :: else fi; l++
+          :: else -> break
+          od
+       :: what == o_stop ->
+          l = 0;
+          do
+          :: l < LINKS ->
+             if
+             :: link[l].request == r && link[l].try == n && attempt[NUMBER(r, n)] != ended ->
+                try_step(NUMBER(r, n), e_stop);
+                if
+                :: link[l].state == dialling || link[l].state == starting ->
+                   link_step(l, e_drop);
+                   end_try(l, t_unrun)
+                :: link[l].state == busy ->
+                   link_step(l, e_stop);
+                   link[l].cancel = true;
+                   link[l].meant = link[l].number;
+                   not_out(l)
+                :: else
+                fi
+             :: else
+             fi;
+             l++
+          :: else -> break
+          od
+       :: what == o_start ->
+          if
+          :: drain_known -> try_step(NUMBER(r, n), e_end); told!t_unrun(r, n)
+          :: else ->
+             l = 0;  /* a pooled connection first, else a free place to dial */
+             do
+             :: l < LINKS && link[l].state != idle -> l++
+             :: else -> break
+             od;
+             if
+             :: l < LINKS -> link[l].request = r; link[l].try = n; write_statement(l)
+             :: else ->
+                l = 0;
+                do
+                :: l < LINKS && link[l].state != closed -> l++
+                :: else -> break
+                od;
+                if
+                :: l < LINKS && !link[l].cancel ->
+                   link[l].state = dialling;
+                   link[l].request = r;
+                   link[l].try = n;
+                   link[l].statement = NONE;
+                   link[l].coming = nothing;
+                   try_step(NUMBER(r, n), e_dial)
+                :: else -> try_step(NUMBER(r, n), e_end); told!t_unrun(r, n)  /* the pool is full */
+                fi
+             fi
+          fi
+       :: else
+       fi;
+       l = 0; r = 0; n = 0; what = nothing }
+  :: atomic { (link[0].state != closed) -> l = 0; goto event }
+  :: atomic { (link[1].state != closed) -> l = 1; goto event }
+  od;
+event:
+  atomic {
+    if
+    :: link[l].state == dialling ->
+       if
+       :: link_step(l, e_connected)
+       :: end_try(l, t_unrun); link_step(l, e_lost)
+       fi
+    :: link[l].state == starting ->
+       if
+       :: end_try(l, t_unrun); link_step(l, e_lost)
+       :: link_step(l, e_ready);
+          if
+#ifndef PLANT_LATE_DIAL
+          :: drain_known -> end_try(l, t_unrun); link_step(l, e_leave)
+          :: !drain_known && link[l].request != NONE -> write_statement(l)
+          :: !drain_known && link[l].request == NONE -> skip
+#else
+          :: link[l].request != NONE -> write_statement(l)
+          :: link[l].request == NONE -> skip
+#endif
+          fi
+       fi
+    :: link[l].coming == answered || link[l].coming == refused ->
+       if :: link[l].state == busy -> not_out(l) :: else fi;
+       link[l].statement = NONE;
+       if
+       :: link[l].coming == answered -> end_try(l, t_served)
+       :: else -> end_try(l, t_unrun)
+       fi;
+       link[l].coming = nothing;
+       if
+#ifdef PLANT_REUSE
+       :: link[l].state == cancelling -> link[l].state = idle
+#else
+       :: link[l].state == cancelling -> link_step(l, e_spoilt)
+#endif
+       :: link[l].state == busy && drain_known -> link_step(l, e_spoilt)
+       :: link[l].state == busy && !drain_known -> link_step(l, e_end)
+       fi
+    :: link[l].coming == gone ->
+       if :: link[l].state == busy -> not_out(l) :: else fi;
+       end_try(l, t_unknown);
+       link[l].statement = NONE;
+       link[l].coming = nothing;
+       link_step(l, e_lost)
+    :: else
+    fi;
+    l = 0
+  };
+  goto end
+}
+
+/* An engine answers, turns away (proof that nothing ran), resets, or reads a cancel request. */
+proctype engines() {
+  byte l;
+end:
+  do
+  :: atomic { link[0].statement != NONE && link[0].coming == nothing && link[0].state != closed -> l = 0; goto reply }
+  :: atomic { link[1].statement != NONE && link[1].coming == nothing && link[1].state != closed -> l = 1; goto reply }
+  :: atomic { link[0].cancel -> l = 0; goto cancel }
+  :: atomic { link[1].cancel -> l = 1; goto cancel }
+  od;
+reply:
+  atomic {
+    if
+    :: link[l].coming = answered
+    :: link[l].coming = refused; request[link[l].statement].ran--
+    :: link[l].coming = gone
+    fi;
+    l = 0
+  };
+  goto end;
+cancel:
+  atomic {
+    link[l].cancel = false;
+    if
+    :: link[l].statement != NONE && link[l].coming == nothing && link[l].state != closed ->
+       assert(link[l].number == link[l].meant);  /* no cancel hits another statement */
+       link[l].coming = answered
+    :: else
+    fi;
+    link[l].meant = 0;
+    l = 0
+  };
+  goto end
+}
+
+init {
+  atomic {
+#ifdef ONE_REQUEST
+    request[1].final = true;
+#else
+    request[1].unsafe = true;
+#endif
+#ifdef UNSAFE
+    request[0].unsafe = true;
+#endif
+    link[0].state = closed; link[0].request = NONE; link[0].statement = NONE; link[0].coming = nothing;
+    link[1].state = closed; link[1].request = NONE; link[1].statement = NONE; link[1].coming = nothing;
+    attempt[0] = fresh; attempt[1] = fresh; attempt[2] = fresh; attempt[3] = fresh;
+    run strand();
+    run shard();
+    run engines()
+  }
+}
--- a/src/explore/worlds.cpp
+++ b/src/explore/worlds.cpp
@@ -61,6 +61,12 @@
                    .drains = 1,
                    .stalls = 1,
                    .passes = 3});
+  plans.push_back(
+      {.name = "pool-stall",
+       .about = "the router has no turn while a request is on its way to a pooled connection",
+       .clients = {{{.id = "q1", .cls = "lookup"}, {.id = "q2", .cls = "lookup", .timeout = 300ms}}},
+       .stalls = 1,
+       .passes = 2});
   plans.push_back({.name = "shards",
                    .about = "two shards and one strand: commands overtake events",
                    .shards = 2,
--- a/tests/explore/explore_test.cpp
+++ b/tests/explore/explore_test.cpp
@@ -3,6 +3,7 @@
 
 #include <fstream>
 #include <iterator>
+#include <regex>
 
 #include "explore/search.hpp"
 
@@ -84,6 +85,29 @@
   }
 }
 
+// The lines of an inline of the Promela model, "STATE EVENT NEXT", and those of a table.
+std::set<std::string> model_lines(const std::string& text, const std::string& subject) {
+  const std::regex line(subject + R"( == (\w+) && event == e_(\w+) -> )" + subject + R"( = (\w+))");
+  std::set<std::string> lines;
+  for (std::sregex_iterator at(text.begin(), text.end(), line), end; at != end; ++at)
+    lines.insert((*at)[1].str() + " " + (*at)[2].str() + " " + (*at)[3].str());
+  return lines;
+}
+std::set<std::string> table_lines(const auto& table) {
+  std::set<std::string> lines;
+  for (const auto& line : table)
+    lines.insert(std::string(name_of(line.from)) + " " + std::string(name_of(line.event)) + " " +
+                 std::string(name_of(line.to)));
+  return lines;
+}
+
+TEST(Model, HasTheCodesTransitionsAndNoOthers) {
+  std::ifstream file(HERONWELL_MODEL);
+  const std::string text{std::istreambuf_iterator<char>(file), {}};
+  EXPECT_EQ(model_lines(text, R"(link\[l\]\.state)"), table_lines(path::kLinkTable));
+  EXPECT_EQ(model_lines(text, R"(attempt\[i\])"), table_lines(path::kTryTable));
+}
+
 // What was found once stays mended.
 TEST(Stories, AThreadStoppedBetweenTheDecisionAndTheWriteServesNothingLate) {
   const std::vector<Choice> choices{{Kind::send},      {Kind::deliver, 0},   {Kind::told},
