--- a/src/explore/world.cpp
+++ b/src/explore/world.cpp
@@ -637,7 +637,31 @@
   if (stalls_ > 0) put(Kind::stall);
 }
 
+// What must hold at any moment at which shards and strand have heard all of each other.
+void Sim::check_books() {
+  if (!told_.empty() || !deferred_.empty() || strand_->next_due() <= now_) return;
+  if (std::ranges::any_of(orders_, [](const auto& o) { return !o.empty(); })) return;
+  std::size_t exchanges = 0, owed = 0;
+  for (const auto& shard : shards_) exchanges += shard->books().exchanges;
+  if (exchanges != strand_->host().open())
+    break_property("the books of host and shards agree",
+                   fmt::format("{} requests here, {} there", strand_->host().open(), exchanges));
+  for (const auto& [id, request] : requests_) {
+    const auto& wire = *wires_[clients_[request.client].wire];
+    if (!request.arrived || request.whole || wire.closed || wire.gone) continue;
+    owed += request.asked.graphql.empty() ? 1 : request.asked.statements.size();
+  }
+  if (exchanges > owed)
+    break_property("a request whose client has gone is given up at once",
+                   fmt::format("{} are held, {} owed", exchanges, owed));
+}
+
 void Sim::take(const Choice& choice) {
+  act(choice);
+  check_books();
+}
+
+void Sim::act(const Choice& choice) {
   {
     scratch_.clear();
     put(scratch_,
--- a/src/explore/world.hpp
+++ b/src/explore/world.hpp
@@ -171,6 +171,8 @@
     unsigned ran = 0;
   };
 
+  void act(const Choice& choice);
+  void check_books();
   void break_property(std::string property, std::string detail);
   void engine_reads(WireState& wire);
   void statement(WireState& wire, const std::string& text);
--- a/tests/router/load_deaths_test.cpp
+++ b/tests/router/load_deaths_test.cpp
@@ -7,8 +7,8 @@
 #include <pcg_random.hpp>
 #include <random>
 
-#include "path/graphql.hpp"
 #include "graphql/validate.hpp"
+#include "path/graphql.hpp"
 #include "router/host.hpp"
 
 namespace heronwell::router {
