Docs of the explorer; a world of documents under stalls, and streams that a stall makes late

A planted fault (an answer begun after its deadline) passed unseen: the stall of the world 'stream' was shorter than its deadline. New world doc-stall, and the property for GraphQL's answers: data without errors is never sent late.

--- a/src/explore/world.cpp
+++ b/src/explore/world.cpp
@@ -500,6 +500,9 @@
     if (step.event == Event::end) {
       auto& request = requests_.at(script[client.answered].id);
       request.whole = true;
+      const bool late = request.arrived && now_ > *request.arrived + request.asked.timeout;
+      if (!request.asked.graphql.empty() && late && client.body.find("\"errors\"") == std::string::npos)
+        break_property("no answer is served after the deadline", request.asked.id);
       const bool told = request.asked.graphql.empty() && *request.status == 200;
       if (told && client.body.find(request.asked.id) == std::string::npos)
         break_property("answers keep the order of their requests",
--- a/src/explore/worlds.cpp
+++ b/src/explore/worlds.cpp
@@ -83,7 +83,7 @@
        .pipelined = true});
   plans.push_back({.name = "stream",
                    .about = "an answer that outgrows what is held: it begins, is cut, cancelled or left",
-                   .clients = {{{.id = "q1", .cls = "lookup", .rows = 8}}},
+                   .clients = {{{.id = "q1", .cls = "lookup", .timeout = 300ms, .rows = 8}}},
                    .hold = 40,
                    .splits = 1,
                    .leaves = 1,
@@ -117,6 +117,12 @@
                    .leaves = 1,
                    .failures = 1,
                    .passes = 1});
+  plans.push_back(
+      {.name = "doc-stall",
+       .about = "the router has no turn while a document's lookups are out",
+       .clients = {{{.id = "d1", .timeout = 300ms, .graphql = "{r1 r2}", .statements = {"r1", "r2"}}}},
+       .stalls = 1,
+       .passes = 2});
   return plans;
 }
 
