A stream too late to begin is told to the strand, which stops its attempt

Story of the world 'stream', 15 events, once its deadline is shorter than its stall: the strand lets an answer begin, the thread has no turn until the deadline has passed, the shard answers 504 and forgets the request; the host went on to count it as streaming until its attempt had ended. The shard now says that the client is gone, and the host stops the attempt as it does for any client that leaves.

--- a/src/path/shard.cpp
+++ b/src/path/shard.cpp
@@ -374,6 +374,7 @@
 // turn in between: its client is told that it is overdue. True: it was.
 bool Shard::overdue(const ExchangePtr& exchange) {
   if (exchange->streaming() || now() <= exchange->deadline) return false;
+  tell(Left{exchange->ticket});  // an attempt of it that is still out is stopped
   forget(exchange);
   router::Answer answer;
   answer.ticket = exchange->ticket;
@@ -419,11 +420,8 @@
 void Shard::on(const router::BeginStream& order) {
   const auto found = attempts_.find({order.ticket, order.attempt});
   if (found == attempts_.end()) return;  // lost meanwhile: its end is on the way to the strand
-  const auto attempt = found->second;
-  const auto connection = attempt->connection.lock();
-  if (!connection) return;
-  if (!overdue(attempt->exchange)) return connection->stream();
-  if (step(attempt->state, TryEvent::stop)) connection->stop(attempt);
+  const auto connection = found->second->connection.lock();
+  if (connection && !overdue(found->second->exchange)) connection->stream();
 }
 
 void Shard::on(const router::BreakStream& order) {
