A shard that ends lets go of GraphQL requests whose statements are still out

A request holds its statements and each of them its request: where a process, or a world of the explorer, ended with statements out, both stayed. LeakSanitizer said so in the explorer's tests; found there because a world ends at any moment.

--- a/src/path/shard.cpp
+++ b/src/path/shard.cpp
@@ -66,6 +66,7 @@
   // Connections first: their handlers refer to the maps below.
   for (const auto& [number, client] : std::map(clients_)) client->abandon();
   attempts_.clear();
+  for (auto& [ticket, exchange] : exchanges_) exchange->asker = nullptr;  // which holds its exchanges in turn
   exchanges_.clear();
   for (auto& [id, pool] : pools_)
     for (const auto& [number, connection] : std::map(pool.all)) connection->leave();
