Explorer reread: a keyed world and its window, dead state out, one place for log lines

Rereading the change: the plan's further settings, a client's 'connected' and 'cancel_asked' were never used; two classes wrote the same log line; the keyed class of the worlds had no world. New world keyed and the property that a keyed statement is repeated only within its window. The header claimed that the story is the same on any number of threads: the verdict is, the story may differ.

--- a/src/daemon/decisions.cpp
+++ b/src/daemon/decisions.cpp
@@ -1,7 +1,5 @@
 #include "daemon/decisions.hpp"
 
-#include <spdlog/spdlog.h>
-
 #include <fstream>
 #include <sstream>
 
@@ -67,10 +65,6 @@
   threads_[shard]->orders().put_all(orders);
 }
 
-void Decisions::log(path::Level level, std::string line) {
-  spdlog::log(level == path::Level::warn ? spdlog::level::warn : spdlog::level::info, line);
-}
-
 void Decisions::arm() {
   const auto due = strand_.next_due();
   if (stopped_ || due == armed_) return;
--- a/src/daemon/decisions.hpp
+++ b/src/daemon/decisions.hpp
@@ -28,7 +28,7 @@
   [[nodiscard]] Time unix_offset() override { return daemon::unix_offset(); }
   void order(std::size_t shard, std::vector<path::Order>& orders) override;
   void tell_peers(const router::TellPeers& tell) override;
-  void log(path::Level level, std::string line) override;
+  void log(path::Level level, std::string line) override { write_log(level, line); }
 
  private:
   void arm();
--- a/src/daemon/thread.cpp
+++ b/src/daemon/thread.cpp
@@ -164,7 +164,7 @@
 
 void Thread::defer(std::function<void()> then) { asio::post(context_, std::move(then)); }
 
-void Thread::log(path::Level level, std::string line) {
+void write_log(path::Level level, const std::string& line) {
   spdlog::log(level == path::Level::warn ? spdlog::level::warn : spdlog::level::info, line);
 }
 
--- a/src/daemon/thread.hpp
+++ b/src/daemon/thread.hpp
@@ -14,6 +14,8 @@
 
 using Inbox = Mailbox<path::Told, Executor>;
 
+void write_log(path::Level level, const std::string& line);
+
 class Thread final : public path::World {
  public:
   Thread(const config::Config& config, path::Metrics& metrics, const router::Front& front,
@@ -32,7 +34,7 @@
   path::TimerPtr timer(std::function<void()> then) override;
   void defer(std::function<void()> then) override;
   void tell(path::Told what) override { inbox_->put(std::move(what)); }
-  void log(path::Level level, std::string line) override;
+  void log(path::Level level, std::string line) override { write_log(level, line); }
 
  private:
   asio::io_context context_{1};
--- a/src/explore/search.cpp
+++ b/src/explore/search.cpp
@@ -56,7 +56,7 @@
   Worker(const Plan& plan, const Bounds& given) : setting(plan), bounds(given) {}
 
   void expand(const std::vector<Choice>& way, const Hashes& seen, Expanded& out) {
-    std::vector<Choice> all, next;
+    std::vector<Choice> all;
     {
       Sim sim(setting);
       for (const auto& choice : way) sim.take(choice);
--- a/src/explore/search.hpp
+++ b/src/explore/search.hpp
@@ -38,10 +38,11 @@
   std::size_t states = 0, edges = 0, depth = 0, unexplored = 0;  // unexplored: states left at the bound
   std::map<Pair, Met> met;
   std::set<std::string> outcomes;  // of the fair ways on
-  std::optional<Story> story;      // the shortest
+  std::optional<Story> story;      // with the fewest choices before the fair way on
 };
 
-// The same for the same plan and bounds, whatever the number of threads.
+// States, edges, ends and whether something is broken are the same for the same plan and bounds, whatever the
+// number of threads; which of several stories is told, and how often a pair was met, may differ.
 Found search(const Plan& plan, const Bounds& bounds);
 
 // Plays a story again, one line a choice; what broke, if it still does.
--- a/src/explore/world.cpp
+++ b/src/explore/world.cpp
@@ -14,6 +14,7 @@
 using path::Level;
 
 constexpr Time kLongestPass = 500ms;
+constexpr Time kWindow = 150ms;  // of the keyed class
 
 constexpr const char* kSchema = R"(type Query {
   r1: Int @sql(statement: "select a /*hw id=r1 */", class: "lookup")
@@ -25,7 +26,7 @@
 })";
 
 config::Config read(const Plan& plan) {
-  auto text = fmt::format(
+  const auto text = fmt::format(
       R"yaml(gateway: {{name: gw0, seed: 5, threads: {}, of: 1, number: 0}}
 listen: {{port: 0{}}}
 list: {{file: none}}
@@ -34,10 +35,10 @@
 classes:
   lookup: {{aim: 300ms, give_up: 1s}}
   load: {{aim: 300ms, give_up: 1s, effect: unsafe}}
-  booking: {{aim: 300ms, give_up: 1s, effect: keyed}}
+  booking: {{aim: 300ms, give_up: 1s, effect: keyed, repeat_window: {}}}
+engines: {{never_began: ["53300"], cancel_wait: 100ms}}
 )yaml",
-      plan.shards, plan.hold > 0 ? fmt::format(", hold: {}B", plan.hold) : "");
-  text += plan.settings.empty() ? "engines: {never_began: [\"53300\"], cancel_wait: 100ms}\n" : plan.settings;
+      plan.shards, plan.hold > 0 ? fmt::format(", hold: {}B", plan.hold) : "", yaml::duration_text(kWindow));
   return config::read_config(yaml::Section::text(text, plan.name));
 }
 
@@ -371,9 +372,6 @@
         auto& target = *wires_.at(startup->process - 1);
         s.running = target.session.running;  // what it is meant for
         s.cancel_target = target.session.statements;
-        const auto hit = statements_.find(target.session.running);
-        if (hit != statements_.end())
-          for (auto& attempt : hit->second.attempts) attempt.cancel_asked |= attempt.wire == target.id;
         continue;
       }
       sql::put_authentication_ok(wire.to_router);
@@ -419,6 +417,10 @@
       break_property("an unsafe statement is sent again only if no attempt ran",
                      fmt::format("{} went to {} though it may have run on {}", id, engine_name(wire.peer),
                                  engine_name(attempt.engine)));
+    if (asked.cls == "booking" && !attempt.proven_unrun && now_ > attempt.at + kWindow)
+      break_property("a keyed statement is repeated only within its window",
+                     fmt::format("{} went to {} {} ms after the attempt before", id, engine_name(wire.peer),
+                                 milliseconds(now_ - attempt.at)));
   }
   if (drain_told_[wire.peer] != Time::max() &&
       (told_draining_[wire.peer] || now_ > drain_told_[wire.peer] + setting_.config.module.drain_grace))
@@ -431,7 +433,7 @@
   if (std::ranges::any_of(asked.of, late))
     break_property("nothing is sent after the deadline",
                    fmt::format("{} went to {}", id, engine_name(wire.peer)));
-  asked.attempts.push_back({wire.id, wire.peer, true, false, false});
+  asked.attempts.push_back({wire.id, wire.peer, now_, true, false});
   ++asked.ran;
 }
 
@@ -979,9 +981,11 @@
   }
   for (const auto& [id, statement] : statements_) {
     put(out, statement.attempts.size() << 8 | statement.ran);
-    for (const auto& a : statement.attempts)
+    for (const auto& a : statement.attempts) {
       put(out, static_cast<std::uint64_t>(wires_[a.wire]->peer) << 8 | (a.out ? 1U : 0U) |
-                   (a.proven_unrun ? 2U : 0U) | (a.cancel_asked ? 4U : 0U));
+                   (a.proven_unrun ? 2U : 0U));
+      put(out, a.at);
+    }
   }
   for (std::size_t e = 0; e < draining_.size(); ++e) {
     put(out, (draining_[e] ? 1U : 0U) | (told_draining_[e] ? 2U : 0U));
--- a/src/explore/world.hpp
+++ b/src/explore/world.hpp
@@ -38,7 +38,6 @@
   unsigned shards = 1, engines = 1;
   std::vector<std::vector<Asked>> clients{};  // by client: its requests, in order
   unsigned hold = 0;                          // bytes of an answer held before it is streamed; 0: the default
-  std::string settings{};                     // more YAML of the router's configuration
   unsigned splits = 0;                        // messages cut at a byte boundary
   unsigned leaves = 0;                        // clients that hang up or reset
   unsigned failures = 0;     // dials refused, connections reset, statements turned away or in error
@@ -114,8 +113,8 @@
   void take(const Choice& choice);                             // one of choices()
   [[nodiscard]] std::string text(const Choice& choice) const;  // what it would be now, for people
 
-  // The state: equal hashes, equal futures. `exact`: by the whole history of what the shards were given, in
-  // order, instead of by connection; for checking the one against the other.
+  // The state: equal hashes, equal futures. `exact`: by all choices so far, in order, so that no two are one;
+  // for checking the one against the other.
   [[nodiscard]] Hash hash(bool exact = false) const;
   [[nodiscard]] const std::optional<Broken>& broken() const { return broken_; }
   // One step of the fair way on: whatever waits comes, oldest first, engines answer, then time passes. Empty:
@@ -127,7 +126,6 @@
   [[nodiscard]] std::string outcome() const;  // of each request: what its client saw, what engines ran
 
  private:
-  friend class SimWire;
   friend class SimTimer;
   class ShardWorld;
   class Strands;
@@ -146,11 +144,12 @@
   struct WireState;
   struct Attempt {
     std::uint16_t wire = 0, engine = 0;
-    bool out = true, proven_unrun = false, cancel_asked = false;
+    Time at{};
+    bool out = true, proven_unrun = false;
   };
   struct Client {
     std::uint16_t wire = 0;
-    bool connected = false, left = false;
+    bool left = false;
     std::size_t sent = 0, answered = 0;
     std::string rest;  // of a cut request
     std::unique_ptr<http::Parser> reader;
--- a/src/explore/worlds.cpp
+++ b/src/explore/worlds.cpp
@@ -22,6 +22,12 @@
                    .leaves = 1,
                    .failures = 2,
                    .passes = 4});
+  plans.push_back({.name = "keyed",
+                   .about = "one keyed request, two engines: repeated only within its window",
+                   .engines = 2,
+                   .clients = {{{.id = "b1", .cls = "booking"}}},
+                   .failures = 2,
+                   .passes = 4});
   plans.push_back({.name = "retry",
                    .about = "one safe request, two engines, failures: retries and their ends",
                    .engines = 2,
