--- a/src/explore/world.hpp
+++ b/src/explore/world.hpp
@@ -117,7 +117,7 @@
   // for checking the one against the other.
   [[nodiscard]] Hash hash(bool exact = false) const;
   [[nodiscard]] const std::optional<Broken>& broken() const { return broken_; }
-  // One step of the fair way on: whatever waits comes, oldest first, engines answer, then time passes. Empty:
+  // One step of the fair way on: whatever waits comes, in one order of kinds, engines answer, then time passes. Empty:
   // all is over.
   [[nodiscard]] std::optional<Choice> fair() const;
   // To be called once fair() has nothing more: what must hold in the end.
