--- a/src/explore/world.cpp
+++ b/src/explore/world.cpp
@@ -1,11 +1,10 @@
 #include "explore/world.hpp"
 
 #include <fmt/format.h>
-#include <xxhash.h>
 
 #include <algorithm>
 #include <array>
-#include <cstring>
+#include <set>
 
 namespace heronwell::explore {
 namespace {
@@ -13,8 +12,10 @@
 using namespace std::chrono_literals;
 using path::Level;
 
+constexpr Time kStart = 1000s;
 constexpr Time kLongestPass = 500ms;
-constexpr Time kWindow = 150ms;  // of the keyed class
+constexpr Time kLongestWay = 60s;  // of a fair way on
+constexpr Time kWindow = 150ms;    // of the keyed class
 
 constexpr const char* kSchema = R"(type Query {
   r1: Int @sql(statement: "select a /*hw id=r1 */", class: "lookup")
@@ -42,31 +43,6 @@
   return config::read_config(yaml::Section::text(text, plan.name));
 }
 
-void put(std::string& out, std::uint64_t value) {
-  std::array<char, sizeof value> bytes{};
-  std::memcpy(bytes.data(), &value, sizeof value);
-  out.append(bytes.data(), bytes.size());
-}
-void put(std::string& out, std::string_view text) {
-  put(out, text.size());
-  out += text;
-}
-void put(std::string& out, Time time) { put(out, static_cast<std::uint64_t>(time.count())); }
-void put(std::string& out, const Hash& hash) {
-  put(out, hash.high);
-  put(out, hash.low);
-}
-Hash hash_of(std::string_view bytes) {
-  const auto h = XXH3_128bits(bytes.data(), bytes.size());
-  return {h.high64, h.low64};
-}
-void mix(Hash& hash, std::string_view bytes) {
-  std::string all;
-  put(all, hash);
-  all += bytes;
-  hash = hash_of(all);
-}
-
 std::string encoded(const path::Told& told) {
   std::string out;
   put(out, told.at);
@@ -170,9 +146,7 @@
     std::string bytes;
     for (const auto piece : pieces) bytes += piece;
     log("write", bytes);
-    if (to == To::engine && seen && end && !bytes.starts_with('X'))
-      sim->break_property("nothing is written to a connection whose end has come",
-                          engine_name(peer) + " had closed it");
+    if (to == To::engine && seen && end && !bytes.starts_with('X')) sim->properties_.written_past_end(peer);
     if (reset || end) return bytes.size();  // it crosses the end, and nobody reads it
     if (to == To::client) {
       if (sim->setting_.plan.room > 0) bytes.resize(std::min<std::size_t>(bytes.size(), room));
@@ -195,7 +169,8 @@
     log(as_reset ? "reset" : "close");
     closed = true;
     user.reset();
-    sim->lost_wire(*this);
+    sim->properties_.wire_lost(id);
+    session.running.clear();
   }
 };
 
@@ -233,8 +208,7 @@
   void tell(path::Told what) override {
     if (const auto* end = std::get_if<router::AttemptEnd>(&what.what))
       if (!ended_.emplace(end->ticket, end->attempt).second)
-        sim_.break_property("the end of an attempt is told once",
-                            fmt::format("attempt {}", end->attempt + 1));
+        sim_.properties_.end_told_again(end->attempt + 1U);
     sim_.told_.push_back(std::move(what));
   }
   void log(Level, std::string) override {}
@@ -264,11 +238,10 @@
 
 Sim::Sim(Setting& setting)
     : setting_(setting),
+      now_(kStart),
       orders_(setting.plan.shards),
       clients_(setting.plan.clients.size()),
       draining_(setting.plan.engines),
-      told_draining_(setting.plan.engines),
-      drain_told_(setting.plan.engines, Time::max()),
       splits_(setting.plan.splits),
       leaves_(setting.plan.leaves),
       failures_(setting.plan.failures),
@@ -276,7 +249,8 @@
       idle_closes_(setting.plan.idle_closes),
       late_(setting.plan.late),
       stalls_(setting.plan.stalls),
-      passes_(setting.plan.passes) {
+      passes_(setting.plan.passes),
+      properties_(setting.plan.engines, setting.config.module.drain_grace, kWindow) {
   const auto& plan = setting.plan;
   strands_ = std::make_unique<Strands>(*this);
   strand_ = std::make_unique<path::Strand>(*strands_, setting.config, setting.metrics, 5, plan.shards);
@@ -305,16 +279,7 @@
     wire->connecting = false;
     shards_[shard]->serve(wire, "");
     wire->room = plan.room;
-    for (std::size_t n = 0; n < plan.clients[i].size(); ++n) {
-      const auto& asked = plan.clients[i][n];
-      requests_[asked.id] = {i, n, asked, {}, {}, false};
-      for (const auto& id : asked.graphql.empty() ? std::vector{asked.id} : asked.statements) {
-        auto& statement = statements_[id];
-        statement.cls = asked.graphql.empty() ? asked.cls : id.starts_with('g') ? "load" : "lookup";
-        statement.rows = asked.rows;
-        statement.of.push_back(asked.id);
-      }
-    }
+    for (const auto& asked : plan.clients[i]) properties_.expect(asked);
   }
 }
 
@@ -353,10 +318,6 @@
   return listed;
 }
 
-void Sim::break_property(std::string property, std::string detail) {
-  if (!broken_) broken_ = Broken{std::move(property), std::move(detail)};
-}
-
 // ---- engines -------------------------------------------------------------------------------------------
 void Sim::engine_reads(WireState& wire) {
   auto& s = wire.session;
@@ -391,53 +352,16 @@
   }
 }
 
-// The properties that are seen at an engine, as the first whole message of a statement goes out to it.
 void Sim::statement(WireState& wire, const std::string& text) {
   auto& s = wire.session;
   const auto id = id_in(text);
-  if (!s.running.empty() || !wire.to_router.empty())
-    break_property(
-        "no connection is used again before ReadyForQuery",
-        fmt::format("{} was sent {} while {} ran on that connection", engine_name(wire.peer), id, s.running));
+  properties_.statement_sent({id, wire.id, wire.peer, s.running, !wire.to_router.empty(), now_});
   s.running = id.empty() ? "probe" : id;
   ++s.statements;
-  const auto found = statements_.find(id);
-  if (found == statements_.end()) return;
-  auto& asked = found->second;
-  const auto answered = [this](const std::string& of) { return requests_.at(of).status.has_value(); };
-  if (std::ranges::all_of(asked.of, answered))
-    break_property("nothing is sent after the final answer",
-                   fmt::format("{} went to {}", id, engine_name(wire.peer)));
-  for (const auto& attempt : asked.attempts) {
-    if (attempt.out)
-      break_property("no two attempts of one request are out at once",
-                     fmt::format("{} went to {} while it was out on {}", id, engine_name(wire.peer),
-                                 engine_name(attempt.engine)));
-    if (asked.cls == "load" && !attempt.proven_unrun)
-      break_property("an unsafe statement is sent again only if no attempt ran",
-                     fmt::format("{} went to {} though it may have run on {}", id, engine_name(wire.peer),
-                                 engine_name(attempt.engine)));
-    if (asked.cls == "booking" && !attempt.proven_unrun && now_ > attempt.at + kWindow)
-      break_property("a keyed statement is repeated only within its window",
-                     fmt::format("{} went to {} {} ms after the attempt before", id, engine_name(wire.peer),
-                                 milliseconds(now_ - attempt.at)));
-  }
-  if (drain_told_[wire.peer] != Time::max() &&
-      (told_draining_[wire.peer] || now_ > drain_told_[wire.peer] + setting_.config.module.drain_grace))
-    break_property("no engine is sent to once it is known to be draining",
-                   fmt::format("{} went to {}", id, engine_name(wire.peer)));
-  const auto late = [this](const std::string& of) {
-    const auto& request = requests_.at(of);
-    return request.arrived && now_ >= *request.arrived + request.asked.timeout;
-  };
-  if (std::ranges::any_of(asked.of, late))
-    break_property("nothing is sent after the deadline",
-                   fmt::format("{} went to {}", id, engine_name(wire.peer)));
-  asked.attempts.push_back({wire.id, wire.peer, now_, true, false});
-  ++asked.ran;
 }
 
-std::string Sim::answer_of(const Session& session, unsigned rows) const {
+std::string Sim::answer_of(const Session& session) const {
+  const auto rows = properties_.rows(session.running);
   std::string out;
   if (session.extended) sql::put_parse_complete(out), sql::put_bind_complete(out);
   if (session.running.starts_with('g')) {
@@ -454,21 +378,6 @@
   return out;
 }
 
-// The attempt on this wire is over, as far as sockets show.
-void Sim::settle(const std::string& id, std::uint16_t wire, bool proven_unrun) {
-  const auto found = statements_.find(id);
-  if (found == statements_.end()) return;
-  for (auto& attempt : found->second.attempts)
-    if (attempt.wire == wire && attempt.out) attempt.out = false, attempt.proven_unrun = proven_unrun;
-}
-
-void Sim::lost_wire(WireState& wire) {
-  for (auto& [id, statement] : statements_)
-    for (auto& attempt : statement.attempts)
-      if (attempt.wire == wire.id) attempt.out = false;
-  wire.session.running.clear();
-}
-
 // ---- clients -------------------------------------------------------------------------------------------
 void Sim::client_reads(WireState& wire, std::string_view bytes) {
   auto& client = clients_[wire.peer];
@@ -481,36 +390,13 @@
     client.in.erase(0, step.consumed);
     using Event = http::Parser::Event;
     if (step.event == Event::need_more) return;
-    if (step.event == Event::error)
-      return break_property("one final answer", fmt::format("client {} reads no HTTP", wire.peer + 1));
+    if (step.event == Event::error) return properties_.answer_unreadable(wire.peer);
     if (step.event == Event::head) {
-      if (client.answered >= client.sent)
-        return break_property("one final answer", fmt::format("client {} got one too many", wire.peer + 1));
-      auto& request = requests_.at(script[client.answered].id);
-      request.status = client.reader->status();
-      if (!request.arrived && *request.status != 408)
-        break_property("one final answer", request.asked.id + " was answered before it was whole");
+      if (client.answered >= client.sent) return properties_.answer_unasked(wire.peer);
       client.body.clear();
-      if (!request.asked.graphql.empty()) continue;  // told in the body
-      if (*request.status == 200 && request.arrived && now_ > *request.arrived + request.asked.timeout)
-        break_property("no answer is served after the deadline", request.asked.id);
-      const auto& attempts = statements_.at(request.asked.id).attempts;
-      const bool may_have_run = !std::ranges::all_of(attempts, &Attempt::proven_unrun);
-      if (request.asked.cls == "load" && *request.status == 503 && may_have_run)
-        break_property("an unsafe request is refused only if no attempt ran", request.asked.id);
-    }
-    if (step.event == Event::end) {
-      auto& request = requests_.at(script[client.answered].id);
-      request.whole = true;
-      const bool late = request.arrived && now_ > *request.arrived + request.asked.timeout;
-      if (!request.asked.graphql.empty() && late && client.body.find("\"errors\"") == std::string::npos)
-        break_property("no answer is served after the deadline", request.asked.id);
-      const bool told = request.asked.graphql.empty() && *request.status == 200;
-      if (told && client.body.find(request.asked.id) == std::string::npos)
-        break_property("answers keep the order of their requests",
-                       request.asked.id + " got another's answer");
-      ++client.answered;
+      properties_.answer_begun(script[client.answered].id, client.reader->status(), now_);
     }
+    if (step.event == Event::end) properties_.answer_whole(script[client.answered++].id, client.body, now_);
   }
 }
 
@@ -646,19 +532,7 @@
 void Sim::check_books() {
   if (!told_.empty() || !deferred_.empty() || strand_->next_due() <= now_) return;
   if (std::ranges::any_of(orders_, [](const auto& o) { return !o.empty(); })) return;
-  std::size_t exchanges = 0, owed = 0;
-  for (const auto& shard : shards_) exchanges += shard->books().exchanges;
-  if (exchanges != strand_->host().open())
-    break_property("the books of host and shards agree",
-                   fmt::format("{} requests here, {} there", strand_->host().open(), exchanges));
-  for (const auto& [id, request] : requests_) {
-    const auto& wire = *wires_[clients_[request.client].wire];
-    if (!request.arrived || request.whole || wire.closed || wire.gone) continue;
-    owed += request.asked.graphql.empty() ? 1 : request.asked.statements.size();
-  }
-  if (exchanges > owed)
-    break_property("a request whose client has gone is given up at once",
-                   fmt::format("{} are held, {} owed", exchanges, owed));
+  properties_.books(strand_->host().open(), remembered().exchanges, without_client(false));
 }
 
 void Sim::take(const Choice& choice) {
@@ -738,7 +612,7 @@
       }
       wire->to_router.erase(0, bytes.size());
       wire->log("deliver", bytes);
-      delivered(*wire, bytes);
+      delivered(*wire);
       if (const auto user = wire->user.lock()) user->received(bytes);
       if (wire->to_router.empty()) wire->arrived.reset();
       return;
@@ -751,22 +625,23 @@
       wire->seen = true;
       wire->end = wire->reset = false;
       wire->gone = true;
-      if (wire->to == WireState::To::engine) lost_wire(*wire);
+      if (wire->to == WireState::To::engine) {
+        properties_.wire_lost(wire->id);
+        wire->session.running.clear();
+      }
       if (const auto user = wire->user.lock()) user->over(choice.b == 1);
       return;
     }
     case Kind::answer: {
       auto& wire = *wires_[choice.a];
       auto& s = wire.session;
-      const auto found = statements_.find(s.running);
-      const auto rows = found == statements_.end() ? 1 : found->second.rows;
       switch (static_cast<Answering>(choice.b)) {
         case Answering::whole:
-          wire.to_router += answer_of(s, rows);
+          wire.to_router += answer_of(s);
           return ended(wire, false);
         case Answering::half: {
           --splits_;
-          auto all = answer_of(s, rows);
+          auto all = answer_of(s);
           const auto cut = all.size() / 2;
           wire.to_router += all.substr(0, cut);
           s.half = all.substr(cut);
@@ -809,9 +684,7 @@
       auto& target = *wires_.at(s.cancels - 1);
       auto& running = target.session;
       if (target.closed || target.end || target.reset || running.running.empty()) return;
-      if (running.statements != s.cancel_target)
-        return break_property("no cancel hits another statement",
-                              fmt::format("one meant for {} hit {}", s.running, running.running));
+      properties_.cancel_met(s.running, running.running, running.statements == s.cancel_target);
       running.half.clear();
       sql::put_error(target.to_router, {"ERROR", "57014", "canceling statement due to user request"});
       sql::put_ready(target.to_router);
@@ -830,10 +703,10 @@
       auto orders = std::exchange(orders_[choice.a], {});
       for (const auto& order : orders) {
         if (const auto* fleet = std::get_if<std::shared_ptr<const path::Fleet>>(&order))
-          for (std::size_t e = 0; e < told_draining_.size(); ++e) {
+          for (std::size_t e = 0; e < draining_.size(); ++e) {
             const auto known = (*fleet)->find(fleet::Book::number(engine_name(e)));
             if (known != (*fleet)->end() && known->second.entry.state != EngineState::ready)
-              told_draining_[e] = true;
+              properties_.drain_known(static_cast<std::uint16_t>(e));
           }
         std::string line;
         put(line, now_);
@@ -865,7 +738,7 @@
     case Kind::list:
       --drains_;
       draining_[choice.a] = true;
-      drain_told_[choice.a] = now_;
+      properties_.drain_told(choice.a, now_);
       told_.push_back({now_, listed()});
       return;
     case Kind::pass:
@@ -891,22 +764,19 @@
   wire.session.ended = std::exchange(wire.session.running, {});
   wire.session.extended = false;
   wire.session.unrun = proven_unrun;
-  const auto found = statements_.find(wire.session.ended);
-  if (proven_unrun && found != statements_.end() && found->second.ran > 0) --found->second.ran;
+  if (proven_unrun) properties_.never_began(wire.session.ended);
 }
 
 // What this shows the router: a request is whole, an attempt over.
-void Sim::delivered(WireState& wire, std::string_view) {
+void Sim::delivered(WireState& wire) {
   if (wire.to == WireState::To::client) {
     auto& client = clients_[wire.peer];
     if (client.sent > 0 && client.rest.empty() && wire.to_router.empty()) {
-      for (std::size_t n = 0; n < client.sent; ++n) {
-        auto& request = requests_.at(setting_.plan.clients[wire.peer][n].id);
-        if (!request.arrived) request.arrived = wire.arrived.value_or(now_);
-      }
+      for (std::size_t n = 0; n < client.sent; ++n)
+        properties_.request_arrived(setting_.plan.clients[wire.peer][n].id, wire.arrived.value_or(now_));
     }
   } else if (wire.to_router.empty() && wire.session.running.empty() && !wire.session.ended.empty()) {
-    settle(std::exchange(wire.session.ended, {}), wire.id, wire.session.unrun);
+    properties_.attempt_over(std::exchange(wire.session.ended, {}), wire.id, wire.session.unrun);
   }
 }
 
@@ -975,22 +845,8 @@
     put(out, books.suspect_until);
     put(out, books.exchanges << 32 | books.attempts << 16 | books.idle << 8 | books.cancels);
   }
-  for (const auto& [id, request] : requests_) {
-    put(out, request.arrived.value_or(Time::zero()));
-    put(out, static_cast<std::uint64_t>(request.status.value_or(0)) << 8 | (request.whole ? 1U : 0U));
-  }
-  for (const auto& [id, statement] : statements_) {
-    put(out, statement.attempts.size() << 8 | statement.ran);
-    for (const auto& a : statement.attempts) {
-      put(out, static_cast<std::uint64_t>(wires_[a.wire]->peer) << 8 | (a.out ? 1U : 0U) |
-                   (a.proven_unrun ? 2U : 0U));
-      put(out, a.at);
-    }
-  }
-  for (std::size_t e = 0; e < draining_.size(); ++e) {
-    put(out, (draining_[e] ? 1U : 0U) | (told_draining_[e] ? 2U : 0U));
-    put(out, drain_told_[e]);
-  }
+  properties_.digest(out);
+  for (const bool one : draining_) put(out, one ? 1U : 0U);
   return hash_of(out);
 }
 
@@ -1003,41 +859,36 @@
   for (const auto kind : kOrder)
     for (const auto& choice : all)
       if (choice.kind == kind && (choice.b == 0 || kind == Kind::over)) return choice;
-  bool over = strand_->host().remembered() == 0;
-  for (const auto& shard : shards_) {
-    const auto books = shard->books();
-    over = over && books.exchanges == 0 && books.attempts == 0 && books.cancels == 0;
-  }
-  if (over || now_ > std::chrono::seconds(1000 + 60)) return std::nullopt;
+  const auto left = remembered();
+  const bool over = left.remembered + left.exchanges + left.attempts + left.cancels == 0;
+  if (over || now_ > kStart + kLongestWay) return std::nullopt;
   return Choice{Kind::pass, 0, 0};
 }
 
-void Sim::check_end() {
-  for (const auto& [id, request] : requests_) {
-    const auto& client = clients_[request.client];
-    if (request.arrived && !request.whole && !client.left && !wires_[client.wire]->closed)
-      break_property("each request gets its final answer", id + " got none");
-  }
-  if (strand_->host().open() != 0 || strand_->host().remembered() != 0)
-    break_property("nothing is remembered after the last request",
-                   fmt::format("the host has {} open and {} remembered", strand_->host().open(),
-                               strand_->host().remembered()));
+void Sim::check_end() { properties_.end(remembered(), without_client(true)); }
+
+Properties::Left Sim::remembered() const {
+  Properties::Left left;
+  left.open = strand_->host().open();
+  left.remembered = strand_->host().remembered();
   for (const auto& shard : shards_) {
     const auto books = shard->books();
-    if (books.exchanges + books.attempts + books.cancels != 0)
-      break_property("nothing is remembered after the last request",
-                     fmt::format("a shard has {} exchanges, {} attempts and {} cancel requests",
-                                 books.exchanges, books.attempts, books.cancels));
+    left.exchanges += books.exchanges;
+    left.attempts += books.attempts;
+    left.cancels += books.cancels;
   }
+  return left;
 }
 
-std::string Sim::outcome() const {
-  std::string out;
-  for (const auto& [id, request] : requests_)
-    out += fmt::format("{} answer {}{}; ", id, request.status.value_or(0), request.whole ? "" : " cut");
-  for (const auto& [id, statement] : statements_)
-    out += fmt::format("{} sent {} ran {}; ", id, statement.attempts.size(), statement.ran);
-  return out;
+// Requests whose client the router knows to be gone; or, `by_itself`, any that has left.
+std::vector<std::string> Sim::without_client(bool by_itself) const {
+  std::vector<std::string> ids;
+  for (const auto& client : clients_) {
+    const auto& wire = *wires_[client.wire];
+    if (!wire.closed && !wire.gone && !(by_itself && client.left)) continue;
+    for (const auto& asked : setting_.plan.clients[wire.peer]) ids.push_back(asked.id);
+  }
+  return ids;
 }
 
 std::string Sim::text(const Choice& choice) const {
--- a/src/explore/world.hpp
+++ b/src/explore/world.hpp
@@ -11,10 +11,10 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
+#include "explore/properties.hpp"
 #include "http/message.hpp"
 #include "path/graphql.hpp"
 #include "path/shard.hpp"
@@ -22,15 +22,6 @@
 
 namespace heronwell::explore {
 
-struct Asked {  // a request of a client's script
-  std::string id{}, cls{};
-  std::chrono::milliseconds timeout{1000};
-  bool keep_alive = true;
-  unsigned rows = 1;                      // of its answer
-  std::string graphql{}, key{};           // a document, in place of the statement `id`; its idempotency key
-  std::vector<std::string> statements{};  // that the document runs: g1 and g2 are loads, r1 and r2 lookups
-};
-
 // What a world is, and how many times each unlikely thing may happen in one run of it: the bounds of the
 // search.
 struct Plan {
@@ -82,16 +73,6 @@
   bool operator==(const Choice&) const = default;
 };
 
-// A property that does not hold.
-struct Broken {
-  std::string property, detail;
-};
-
-struct Hash {
-  std::uint64_t high = 0, low = 0;
-  auto operator<=>(const Hash&) const = default;
-};
-
 // What all runs of a plan share: the configuration and counters nobody reads.
 struct Setting {
   explicit Setting(const Plan& plan);
@@ -116,14 +97,15 @@
   // The state: equal hashes, equal futures. `exact`: by all choices so far, in order, so that no two are one;
   // for checking the one against the other.
   [[nodiscard]] Hash hash(bool exact = false) const;
-  [[nodiscard]] const std::optional<Broken>& broken() const { return broken_; }
-  // One step of the fair way on: whatever waits comes, in one order of kinds, engines answer, then time passes. Empty:
-  // all is over.
+  [[nodiscard]] const std::optional<Broken>& broken() const { return properties_.broken(); }
+  // One step of the fair way on: whatever waits comes, in one order of kinds, engines answer, then time
+  // passes. Empty: all is over.
   [[nodiscard]] std::optional<Choice> fair() const;
   // To be called once fair() has nothing more: what must hold in the end.
   void check_end();
   [[nodiscard]] Time now() const { return now_; }
-  [[nodiscard]] std::string outcome() const;  // of each request: what its client saw, what engines ran
+  // Of each request: what its client saw, what engines ran.
+  [[nodiscard]] std::string outcome() const { return properties_.outcome(); }
 
  private:
   friend class SimTimer;
@@ -142,11 +124,6 @@
     bool cancel_read = false;
   };
   struct WireState;
-  struct Attempt {
-    std::uint16_t wire = 0, engine = 0;
-    Time at{};
-    bool out = true, proven_unrun = false;
-  };
   struct Client {
     std::uint16_t wire = 0;
     bool left = false;
@@ -155,41 +132,25 @@
     std::unique_ptr<http::Parser> reader;
     std::string in, body;
   };
-  struct Request {
-    std::size_t client = 0, number = 0;
-    Asked asked;
-    std::optional<Time> arrived;  // in the router's reach
-    std::optional<int> status;    // of its answer, once begun
-    bool whole = false;
-  };
-  struct Statement {
-    std::string cls;
-    std::vector<std::string> of;  // the requests that ask for it
-    unsigned rows = 1;
-    std::vector<Attempt> attempts;
-    unsigned ran = 0;
-  };
-
   void act(const Choice& choice);
   void check_books();
-  void break_property(std::string property, std::string detail);
+  [[nodiscard]] Properties::Left remembered() const;
+  [[nodiscard]] std::vector<std::string> without_client(bool by_itself) const;
   void engine_reads(WireState& wire);
   void statement(WireState& wire, const std::string& text);
   void client_reads(WireState& wire, std::string_view bytes);
-  void settle(const std::string& id, std::uint16_t wire, bool proven_unrun);
-  void lost_wire(WireState& wire);
   void ended(WireState& wire, bool proven_unrun);
-  void delivered(WireState& wire, std::string_view bytes);
+  void delivered(WireState& wire);
   void pass(bool stalled);
   std::shared_ptr<WireState> add_wire(std::uint16_t shard, bool to_engine, std::uint16_t peer);
   [[nodiscard]] path::Listed listed() const;
   static std::uint64_t order_key(const path::Order& order);
   [[nodiscard]] bool pending_events() const;
   [[nodiscard]] Time next_timer() const;
-  std::string answer_of(const Session& session, unsigned rows) const;
+  std::string answer_of(const Session& session) const;
 
   Setting& setting_;
-  Time now_{std::chrono::seconds(1000)};
+  Time now_;
   std::uint64_t drawn_ = 0;
   std::vector<std::shared_ptr<WireState>> wires_;
   struct TimerState {
@@ -202,13 +163,10 @@
   std::vector<path::Told> told_;
   std::vector<std::vector<path::Order>> orders_;
   std::vector<Client> clients_;
-  std::map<std::string, Request> requests_;
-  std::map<std::string, Statement> statements_;
   std::unique_ptr<path::Graphql> graphql_;
-  std::vector<bool> draining_, told_draining_;  // by engine; told: the shards know
-  std::vector<Time> drain_told_;
+  std::vector<bool> draining_;  // by engine
   unsigned splits_, leaves_, failures_, drains_, idle_closes_, late_, stalls_, passes_;
-  std::optional<Broken> broken_;
+  Properties properties_;
   Hash history_, strand_history_;
   std::map<std::uint64_t, Hash> ordered_;  // by ticket: what its shard was ordered, and when
   mutable std::string scratch_;
