--- /dev/null
+++ b/tests/router/driven_host.hpp
@@ -0,0 +1,50 @@
+// A host driven by hand, on a time of its own.
+#pragma once
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <optional>
+#include <vector>
+
+#include "router/host.hpp"
+
+namespace heronwell::router {
+
+class DrivenHost : public testing::Test {
+ protected:
+  void list(unsigned engines) {
+    Listing list;
+    for (EngineId id = 1; id <= engines; ++id) list.engines.push_back({.engine = id});
+    host->listing(list);
+  }
+  void run() {
+    do host->run(now, commands);
+    while (host->next_due() <= Time::zero());
+  }
+  void wait(Time time) {  // as the daemon does: comes back whenever it is due
+    const auto until = now + time;
+    while (true) {
+      const auto due = host->next_due();
+      now = std::max(now, std::min(due, until));
+      host->run(now, commands);
+      if (due > until) return;
+    }
+  }
+  void end(Ticket ticket, AttemptIndex attempt, Result result) {
+    host->attempt_ended(now, {.ticket = ticket, .attempt = attempt, .result = result, .at = now});
+  }
+  template <class C>
+  std::vector<C> all() const {
+    std::vector<C> found;
+    for (const auto& command : commands)
+      if (const auto* one = std::get_if<C>(&command)) found.push_back(*one);
+    return found;
+  }
+
+  std::optional<Host> host;
+  std::vector<Command> commands;  // so far
+  Time now = std::chrono::seconds(100);
+};
+
+}  // namespace heronwell::router
--- a/tests/router/groups_test.cpp
+++ b/tests/router/groups_test.cpp
@@ -1,22 +1,19 @@
 // The host with groups: what a group does not let in, gives up or takes back, and that the module's books and
 // the groups' agree whatever comes.
-#include <gtest/gtest.h>
-
-#include <algorithm>
 #include <map>
 #include <random>
 #include <ranges>
 #include <set>
 
+#include "driven_host.hpp"
 #include "router/front.hpp"
-#include "router/host.hpp"
 
 namespace heronwell::router {
 namespace {
 
 using namespace std::chrono_literals;
 
-class GroupHost : public testing::Test {
+class GroupHost : public DrivenHost {
  protected:
   void start(const std::string& groups, Effect effect = Effect::safe, unsigned engines = 2,
              bool tell = false) {
@@ -36,9 +33,7 @@
         s, 1, 1,
         std::make_unique<groups::Shares>(groups::Tree::read(section),
                                          std::vector<groups::Shares::ClassFacts>{{1, false}}, settings));
-    Listing list;
-    for (EngineId id = 1; id <= engines; ++id) list.engines.push_back({.engine = id});
-    host->listing(list);
+    list(engines);
     run();
   }
   void arrive(Ticket ticket, const std::string& group) {
@@ -48,33 +43,7 @@
     ask.group = group;
     host->arrive(now, ask);
   }
-  void run() {
-    do host->run(now, commands);
-    while (host->next_due() <= Time::zero());
-  }
-  void wait(Time time) {
-    const auto until = now + time;
-    while (true) {
-      const auto due = host->next_due();
-      now = std::max(now, std::min(due, until));
-      host->run(now, commands);
-      if (due > until) return;
-    }
-  }
-  void end(Ticket ticket, AttemptIndex attempt, Result result) {
-    host->attempt_ended(now, {.ticket = ticket, .attempt = attempt, .result = result, .at = now});
-  }
-  template <class C>
-  std::vector<C> all() const {
-    std::vector<C> found;
-    for (const auto& command : commands)
-      if (const auto* one = std::get_if<C>(&command)) found.push_back(*one);
-    return found;
-  }
   bool call_off = true;
-  std::optional<Host> host;
-  Time now = 1s;
-  std::vector<Command> commands;
 };
 
 TEST_F(GroupHost, TellsAtOnceWhatAGroupDoesNotLetIn) {
--- a/tests/router/host_test.cpp
+++ b/tests/router/host_test.cpp
@@ -1,15 +1,11 @@
-#include "router/host.hpp"
-
-#include <gtest/gtest.h>
-
-#include <algorithm>
+#include "driven_host.hpp"
 
 namespace heronwell::router {
 namespace {
 
 using namespace std::chrono_literals;
 
-class HostTest : public testing::Test {
+class HostTest : public DrivenHost {
  protected:
   static Settings settings(Effect effect = Effect::safe) {
     Settings s;
@@ -22,9 +18,7 @@
   }
   void start(Effect effect = Effect::safe, unsigned engines = 2, RequestId first = 1) {
     host.emplace(settings(effect), 1, first);
-    Listing list;
-    for (EngineId id = 1; id <= engines; ++id) list.engines.push_back({.engine = id});
-    host->listing(list);
+    list(engines);
     run();
   }
   void arrive(Ticket ticket, Time left = 2s) {
@@ -33,34 +27,15 @@
     ask.asked.time_left = left;
     host->arrive(now, ask);
   }
+  // Commands are those of the last call.
   void run() {
     commands.clear();
-    do host->run(now, commands);
-    while (host->next_due() <= Time::zero());
+    DrivenHost::run();
   }
-  void wait(Time time) {  // as the daemon does: comes back whenever it is due
-    const auto until = now + time;
+  void wait(Time time) {
     commands.clear();
-    while (true) {
-      const auto due = host->next_due();
-      now = std::max(now, std::min(due, until));
-      host->run(now, commands);
-      if (due > until) return;
-    }
-  }
-  void end(Ticket ticket, AttemptIndex attempt, Result result) {
-    host->attempt_ended(now, {.ticket = ticket, .attempt = attempt, .result = result, .at = now});
-  }
-  template <class C>
-  std::vector<C> all() const {
-    std::vector<C> found;
-    for (const auto& command : commands)
-      if (const auto* one = std::get_if<C>(&command)) found.push_back(*one);
-    return found;
+    DrivenHost::wait(time);
   }
-  std::optional<Host> host;
-  std::vector<Command> commands;
-  Time now = 100s;
 };
 
 TEST_F(HostTest, CarriesARequestFromArrivalToAnswer) {
