Explorer: books hold only what the search compares

The counts of clients and links were kept for the explorer and read by nobody. Removed; the 26 tests of the explorer pass, states of all worlds as before.

--- a/src/path/shard.cpp
+++ b/src/path/shard.cpp
@@ -81,9 +81,8 @@
 }
 
 Shard::Books Shard::books() const {
-  Books books{clients_.size(), exchanges_.size(), attempts_.size(), 0, 0, cancels_.size(),
-              turn_,           suspect_from_,     suspect_until_};
-  for (const auto& [id, pool] : pools_) books.links += pool.all.size(), books.idle += pool.idle.size();
+  Books books{exchanges_.size(), attempts_.size(), 0, cancels_.size(), turn_, suspect_from_, suspect_until_};
+  for (const auto& [id, pool] : pools_) books.idle += pool.idle.size();
   return books;
 }
 
--- a/src/path/shard.hpp
+++ b/src/path/shard.hpp
@@ -70,9 +70,9 @@
   void request_cancel(const config::Address& address, std::uint32_t process, std::uint32_t secret);
   std::uint64_t number() { return ++numbers_; }  // of a connection
 
-  // For the explorer: everything that is remembered here.
+  // For the explorer: what is remembered here of requests, and of stalls.
   struct Books {
-    std::size_t clients = 0, exchanges = 0, attempts = 0, links = 0, idle = 0, cancels = 0;
+    std::size_t exchanges = 0, attempts = 0, idle = 0, cancels = 0;
     Time turn{}, suspect_from{}, suspect_until{};  // what unread_since() goes by
   };
   [[nodiscard]] Books books() const;
