Explorer: partial-order reduction by sleep sets, its ground tried out in every world

The search tried both orders of steps that have nothing to do with each other; it only merged the states they end in. Each step now leaves a footprint of what it read or changed (connections, mailboxes, shards, budgets), and a second order of two steps without a common part is not tried again (sleep sets). A test tries both orders of all such pairs in every world: it found a read that was missing from the footprint (a cancel request reads what its connection runs).

--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -65,14 +65,14 @@
   if (names.empty()) plans = explore::worlds();
   bool broken = false;
   std::map<explore::Pair, explore::Met> met;
-  std::cout << fmt::format("{:10} {:>9} {:>9} {:>6} {:>8} {:>10} {:>9}\n", "world", "states", "events",
-                           "depth", "seconds", "states/s", "left over");
+  std::cout << fmt::format("{:10} {:>9} {:>9} {:>9} {:>6} {:>8} {:>10} {:>9}\n", "world", "states", "events",
+                           "left out", "depth", "seconds", "states/s", "left over");
   for (const auto& plan : plans) {
     const auto begun = std::chrono::steady_clock::now();
     const auto found = explore::search(plan, bounds);
     const std::chrono::duration<double> took = std::chrono::steady_clock::now() - begun;
-    std::cout << fmt::format("{:10} {:9} {:9} {:6} {:8.2f} {:10.0f} {:9}\n", plan.name, found.states,
-                             found.edges, found.depth, took.count(),
+    std::cout << fmt::format("{:10} {:9} {:9} {:9} {:6} {:8.2f} {:10.0f} {:9}\n", plan.name, found.states,
+                             found.edges, found.asleep, found.depth, took.count(),
                              static_cast<double>(found.states) / took.count(), found.unexplored)
               << std::flush;
     for (const auto& [pair, one] : found.met) met[pair].times += one.times, met[pair].to = one.to;
@@ -464,6 +464,7 @@
   explore_run->add_option("--depth", bounds.depth, "Events from the start at most")->capture_default_str();
   explore_run->add_option("--threads", bounds.threads, "Threads");
   explore_run->add_flag("--exact", bounds.exact, "Merge no states: the full tree");
+  explore_run->add_flag("!--no-reduction", bounds.reduce, "Try both orders of steps with nothing in common");
   explore_run->add_flag("--no-fair", no_fair, "Leave out that each state is left in the end");
   explore_run->add_flag("--pairs", pairs, "Print the pairs of (state, event) that were met");
   explore_run->add_option("--stories", stories, "Folder for counter-examples");
--- a/src/explore/search.cpp
+++ b/src/explore/search.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <atomic>
 #include <thread>
+#include <unordered_map>
 #include <unordered_set>
 
 namespace heronwell::explore {
@@ -13,18 +14,34 @@
 struct ByLow {
   std::size_t operator()(const Hash& hash) const { return hash.low; }
 };
-using Hashes = std::unordered_set<Hash, ByLow>;  // asked only, never walked
+using Hashes = std::unordered_set<Hash, ByLow>;                 // asked only, never walked
+using Places = std::unordered_map<Hash, std::uint32_t, ByLow>;  // of nodes; the same
+
+// Steps that need not be tried here: another way to the same states has begun with them.
+struct Asleep {
+  Choice choice;
+  Footprint footprint;
+};
+using Sleep = std::vector<Asleep>;
 
 struct Node {
   std::uint32_t parent = 0;
   Choice choice;
+  Hash names;
+  Sleep sleep;
 };
 
+bool has(const Sleep& sleep, const Choice& choice) {
+  return std::ranges::find(sleep, choice, &Asleep::choice) != sleep.end();
+}
+
 struct Child {
   Choice choice;
-  Hash hash;
+  Hash hash, names;
+  Sleep sleep;
 };
 struct Expanded {
+  std::size_t asleep = 0;
   std::vector<Child> children;
   std::optional<Broken> broken;
   std::vector<Choice> way;  // of what broke
@@ -55,14 +72,19 @@
 struct Worker {
   Worker(const Plan& plan, const Bounds& given) : setting(plan), bounds(given) {}
 
-  void expand(const std::vector<Choice>& way, const Hashes& seen, Expanded& out) {
+  void expand(const std::vector<Choice>& way, Sleep sleep, const Places& seen, Expanded& out) {
     std::vector<Choice> all;
+    const bool reduce = bounds.reduce && !bounds.exact;
     {
       Sim sim(setting);
       for (const auto& choice : way) sim.take(choice);
       sim.choices(all);
     }
     for (const auto& choice : all) {
+      if (reduce && has(sleep, choice)) {
+        ++out.asleep;
+        continue;
+      }
       Sim sim(setting);
       for (const auto& one : way) sim.take(one);
       sim.take(choice);
@@ -70,7 +92,15 @@
       whole.push_back(choice);
       if (sim.broken()) return fail(*sim.broken(), std::move(whole), out);
       const auto hash = sim.hash(bounds.exact);
-      out.children.push_back({choice, hash});
+      out.children.push_back({choice, hash, {}, {}});
+      if (reduce) {
+        auto& child = out.children.back();
+        child.names = sim.names();
+        const auto& mine = sim.footprint();
+        std::ranges::copy_if(sleep, std::back_inserter(child.sleep),
+                             [&mine](const Asleep& one) { return one.footprint.apart(mine); });
+        sleep.push_back({choice, mine});
+      }
       if (!bounds.fair || seen.contains(hash)) continue;
       if (auto broken = go_on(sim, whole)) return fail(std::move(*broken), std::move(whole), out);
     }
@@ -118,11 +148,12 @@
   std::vector<std::unique_ptr<Worker>> workers;
   for (unsigned i = 0; i < std::max(1U, bounds.threads); ++i)
     workers.push_back(std::make_unique<Worker>(plan, bounds));
-  std::vector<Node> nodes{{}};
-  Hashes seen;
+  std::vector<Node> nodes(1);
+  Places seen;
   {
     const Sim start(workers.front()->setting);
-    seen.insert(start.hash(bounds.exact));
+    seen.emplace(start.hash(bounds.exact), 0);
+    nodes.front().names = start.names();
   }
   std::vector<std::uint32_t> level{0};
   while (!level.empty() && !found.story && nodes.size() < bounds.states && found.depth < bounds.depth) {
@@ -131,7 +162,7 @@
     const auto work = [&](Worker& worker) {
       path::steps = &worker.collector;
       for (std::size_t i = at++; i < level.size(); i = at++)
-        worker.expand(way_to(nodes, level[i]), seen, expanded[i]);
+        worker.expand(way_to(nodes, level[i]), nodes[level[i]].sleep, seen, expanded[i]);
       path::steps = nullptr;
     };
     std::vector<std::thread> threads;
@@ -140,15 +171,30 @@
     for (auto& thread : threads) thread.join();
     ++found.depth;
     std::vector<std::uint32_t> next;
+    std::vector<bool> waits(nodes.size());  // by node: stands in `next`
     for (std::size_t i = 0; i < level.size(); ++i) {
       auto& one = expanded[i];
       found.edges += one.children.size();
       if (one.broken && (!found.story || one.way.size() < found.story->choices.size()))
         found.story = Story{plan.name, *one.broken, one.way};
-      for (const auto& child : one.children) {
-        if (!seen.insert(child.hash).second) continue;
-        nodes.push_back({level[i], child.choice});
-        next.push_back(static_cast<std::uint32_t>(nodes.size() - 1));
+      found.asleep += one.asleep;
+      for (auto& child : one.children) {
+        const auto [place, added] = seen.emplace(child.hash, static_cast<std::uint32_t>(nodes.size()));
+        if (added) {
+          nodes.push_back({level[i], child.choice, child.names, std::move(child.sleep)});
+          next.push_back(place->second);
+          waits.push_back(true);
+          continue;
+        }
+        // Reached once more: only what need not be tried on either way sleeps. Where that is less than was
+        // left out before, the state is looked at again.
+        auto& node = nodes[place->second];
+        const auto before = node.sleep.size();
+        if (node.names != child.names) node.sleep.clear();
+        std::erase_if(node.sleep, [&child](const Asleep& other) { return !has(child.sleep, other.choice); });
+        if (node.sleep.size() == before || waits[place->second]) continue;
+        next.push_back(place->second);
+        waits[place->second] = true;
       }
     }
     level = std::move(next);
@@ -162,6 +208,53 @@
   return found;
 }
 
+Commuted commute(const Plan& plan, const Bounds& bounds) {
+  Setting setting(plan);
+  Commuted commuted;
+  std::vector<std::vector<Choice>> level{{}};
+  Hashes seen;
+  for (std::size_t depth = 0; depth < bounds.depth && !level.empty() && seen.size() < bounds.states;
+       ++depth) {
+    std::vector<std::vector<Choice>> next;
+    for (const auto& way : level) {
+      const auto after = [&](std::initializer_list<Choice> more) {
+        auto sim = std::make_unique<Sim>(setting);
+        for (const auto& choice : way) sim->take(choice);
+        for (const auto& choice : more) {
+          std::vector<Choice> open;
+          sim->choices(open);
+          if (std::ranges::find(open, choice) == open.end()) return std::unique_ptr<Sim>();
+          sim->take(choice);
+        }
+        return sim;
+      };
+      std::vector<Choice> all;
+      after({})->choices(all);
+      Sleep steps;
+      for (const auto& choice : all) {
+        const auto sim = after({choice});
+        steps.push_back({choice, sim->footprint()});
+        if (!seen.insert(sim->hash()).second) continue;
+        next.push_back(way);
+        next.back().push_back(choice);
+      }
+      for (std::size_t a = 0; a < steps.size(); ++a)
+        for (std::size_t b = a + 1; b < steps.size(); ++b) {
+          if (!steps[a].footprint.apart(steps[b].footprint)) continue;
+          ++commuted.pairs;
+          const auto one = after({steps[a].choice, steps[b].choice});
+          const auto other = after({steps[b].choice, steps[a].choice});
+          if (one && other && one->hash() == other->hash() && one->names() == other->names()) continue;
+          const auto here = after({});
+          commuted.wrong = here->text(steps[a].choice) + " / " + here->text(steps[b].choice);
+          return commuted;
+        }
+    }
+    level = std::move(next);
+  }
+  return commuted;
+}
+
 std::optional<Broken> replay(const Plan& plan, const std::vector<Choice>& choices,
                              std::vector<std::string>& lines) {
   Setting setting(plan);
--- a/src/explore/search.hpp
+++ b/src/explore/search.hpp
@@ -1,5 +1,8 @@
 // Breadth-first search of a world: every order of its events, each state once, shortest stories first. Real
 // code has no copies to go back to, so a state is reached again by playing its choices from the start.
+//
+// Partial-order reduction by sleep sets (Godefroid, 1996): where two steps have nothing in common, the second
+// order is not tried again. Every state is still visited, by fewer steps; docs/explore.md has the argument.
 #pragma once
 
 #include <cstddef>
@@ -20,6 +23,7 @@
   unsigned threads = 1;
   bool exact = false;  // states by their whole history: nothing is merged
   bool fair = true;    // from each new state, the fair way on must end well
+  bool reduce = true;  // by sleep sets, unless exact
 };
 
 struct Story {
@@ -36,6 +40,7 @@
 
 struct Found {
   std::size_t states = 0, edges = 0, depth = 0, unexplored = 0;  // unexplored: states left at the bound
+  std::size_t asleep = 0;                                        // steps that the reduction left out
   std::map<Pair, Met> met;
   std::set<std::string> outcomes;  // of the fair ways on
   std::optional<Story> story;      // with the fewest choices before the fair way on
@@ -45,6 +50,14 @@
 // number of threads; which of several stories is told, and how often a pair was met, may differ.
 Found search(const Plan& plan, const Bounds& bounds);
 
+// The ground of the reduction, tried out: in every state of a search, both orders of each two steps that have
+// nothing in common. Empty: they all end in one state; else what the first two are that do not.
+struct Commuted {
+  std::size_t pairs = 0;
+  std::string wrong{};
+};
+Commuted commute(const Plan& plan, const Bounds& bounds);
+
 // Plays a story again, one line a choice; what broke, if it still does.
 std::optional<Broken> replay(const Plan& plan, const std::vector<Choice>& choices,
                              std::vector<std::string>& lines);
--- a/src/explore/world.cpp
+++ b/src/explore/world.cpp
@@ -142,6 +142,7 @@
   }
   void attach(std::weak_ptr<path::WireUser> given) override { user = std::move(given); }
   std::optional<std::size_t> write(std::span<const std::string_view> pieces) override {
+    sim->footprint_.wire(id);
     if (closed || (seen && reset)) return std::nullopt;
     std::string bytes;
     for (const auto piece : pieces) bytes += piece;
@@ -158,14 +159,26 @@
     }
     return bytes.size();
   }
-  void await_room() override { room_wanted = true; }
-  void read(bool on) override { reading = on; }
-  bool quiet() override { return !(seen && (end || reset || !to_router.empty())); }
+  void await_room() override {
+    sim->footprint_.wire(id);
+    room_wanted = true;
+  }
+  void read(bool on) override {
+    sim->footprint_.wire(id);
+    reading = on;
+  }
+  bool quiet() override {
+    sim->footprint_.wire(id);
+    return !(seen && (end || reset || !to_router.empty()));
+  }
   void shut() override {
+    sim->footprint_.wire(id);
     log("shut");
     if (to == To::client) end = true, seen = true;  // its client closes in turn
   }
   void close(bool as_reset) override {
+    sim->footprint_.wire(id);
+    sim->footprint_.add(Footprint::properties);
     log(as_reset ? "reset" : "close");
     closed = true;
     user.reset();
@@ -189,8 +202,12 @@
  public:
   ShardWorld(Sim& sim, std::uint16_t shard) : sim_(sim), shard_(shard) {}
   Time now() override { return sim_.now_; }
-  std::uint64_t drawn() override { return ++sim_.drawn_; }
+  std::uint64_t drawn() override {
+    sim_.footprint_.add(Footprint::draws);
+    return ++sim_.drawn_;
+  }
   void draw(std::span<unsigned char> bytes) override {
+    sim_.footprint_.add(Footprint::draws);
     ++sim_.drawn_;
     for (auto& byte : bytes) byte = static_cast<unsigned char>(sim_.drawn_);
   }
@@ -201,11 +218,17 @@
     auto state = std::make_shared<TimerState>();
     state->then = std::move(then);
     state->sweeper = !built;
+    state->shard = shard_;
+    sim_.footprint_.add(Footprint::timers);
     sim_.timers_.push_back(state);
     return std::make_unique<SimTimer>(std::move(state));
   }
-  void defer(std::function<void()> then) override { sim_.deferred_.push_back(std::move(then)); }
+  void defer(std::function<void()> then) override {
+    sim_.footprint_.add(Footprint::deferred);
+    sim_.deferred_.push_back(std::move(then));
+  }
   void tell(path::Told what) override {
+    sim_.footprint_.add(Footprint::told);
     if (const auto* end = std::get_if<router::AttemptEnd>(&what.what))
       if (!ended_.emplace(end->ticket, end->attempt).second)
         sim_.properties_.end_told_again(end->attempt + 1U);
@@ -226,6 +249,7 @@
   Time now() override { return sim_.now_; }
   Time unix_offset() override { return Time::zero(); }
   void order(std::size_t shard, std::vector<path::Order>& orders) override {
+    sim_.footprint_.orders(shard);
     for (auto& order : orders) sim_.orders_[shard].push_back(std::move(order));
     orders.clear();
   }
@@ -298,6 +322,8 @@
   wire->to = to;
   wire->peer = peer;
   wire->connecting = true;
+  footprint_.add(Footprint::dials);
+  footprint_.wire(wire->id);
   for (const auto& other : wires_)
     if (other->to == to && other->shard == shard && other->peer == peer) ++wire->ordinal;
   wires_.push_back(wire);
@@ -318,6 +344,17 @@
   return listed;
 }
 
+// By what the connection is, not by when it was dialled, so that dials in either order make one state.
+std::uint32_t Sim::process_of(const WireState& wire) {
+  return (wire.shard << 24U | wire.peer << 16U | wire.ordinal) + 1U;
+}
+
+std::shared_ptr<Sim::WireState> Sim::named(std::uint32_t process) const {
+  return *std::ranges::find_if(wires_, [process](const auto& wire) {
+    return wire->to == WireState::To::engine && process_of(*wire) == process;
+  });
+}
+
 // ---- engines -------------------------------------------------------------------------------------------
 void Sim::engine_reads(WireState& wire) {
   auto& s = wire.session;
@@ -330,13 +367,14 @@
       s.started = true;
       if (startup && startup->code == sql::kCancelCode) {
         s.cancels = startup->process;
-        auto& target = *wires_.at(startup->process - 1);
+        auto& target = *named(s.cancels);
+        footprint_.wire(target.id);
         s.running = target.session.running;  // what it is meant for
         s.cancel_target = target.session.statements;
         continue;
       }
       sql::put_authentication_ok(wire.to_router);
-      sql::put_key(wire.to_router, wire.id + 1U, 7);
+      sql::put_key(wire.to_router, process_of(wire), 7);
       sql::put_ready(wire.to_router);
       s.ready = true;
       continue;
@@ -355,6 +393,7 @@
 void Sim::statement(WireState& wire, const std::string& text) {
   auto& s = wire.session;
   const auto id = id_in(text);
+  footprint_.add(Footprint::properties);
   properties_.statement_sent({id, wire.id, wire.peer, s.running, !wire.to_router.empty(), now_});
   s.running = id.empty() ? "probe" : id;
   ++s.statements;
@@ -381,6 +420,7 @@
 // ---- clients -------------------------------------------------------------------------------------------
 void Sim::client_reads(WireState& wire, std::string_view bytes) {
   auto& client = clients_[wire.peer];
+  footprint_.add(Footprint::properties);
   if (client.left) return;
   client.in += bytes;
   const auto& script = setting_.plan.clients[wire.peer];
@@ -536,10 +576,76 @@
 }
 
 void Sim::take(const Choice& choice) {
+  touch(choice);
   act(choice);
   check_books();
 }
 
+void Sim::runs(std::size_t shard) {
+  footprint_.shard(shard);
+  if (setting_.plan.graphql())  // the keys of all shards are in one store
+    for (std::size_t i = 0; i < shards_.size(); ++i) footprint_.shard(i);
+}
+
+void Sim::touch(const Choice& choice) {
+  footprint_ = {};
+  const auto wire = [this](std::uint16_t id) {
+    footprint_.wire(id);
+    runs(wires_[id]->shard);
+  };
+  switch (choice.kind) {
+    case Kind::send:
+      footprint_.wire(clients_[choice.a].wire);
+      if (choice.b != 0) footprint_.add(Footprint::splits);
+      return;
+    case Kind::leave:
+      footprint_.wire(clients_[choice.a].wire);
+      return footprint_.add(Footprint::leaves);
+    case Kind::refused:
+      footprint_.add(Footprint::failures);
+      return wire(choice.a);
+    case Kind::deliver:
+      if (choice.b == 1) footprint_.add(Footprint::splits);
+      footprint_.add(Footprint::properties);
+      return wire(choice.a);
+    case Kind::over:
+      footprint_.add(Footprint::properties);
+      return wire(choice.a);
+    case Kind::connected:
+      return wire(choice.a);
+    case Kind::answer:
+      footprint_.wire(choice.a);
+      if (choice.b == static_cast<unsigned>(Answering::half)) footprint_.add(Footprint::splits);
+      if (choice.b > static_cast<unsigned>(Answering::half)) footprint_.add(Footprint::failures);
+      return;
+    case Kind::finish:
+    case Kind::cancel:
+      return footprint_.wire(choice.a);
+    case Kind::told:
+      footprint_.add(Footprint::told);
+      return footprint_.add(Footprint::strand);
+    case Kind::due:
+      return footprint_.add(Footprint::strand);
+    case Kind::ordered:
+      footprint_.orders(choice.a);
+      footprint_.add(Footprint::properties);  // a drain becomes known
+      return runs(choice.a);
+    case Kind::timer:
+      return runs(timers_[choice.a]->shard);
+    case Kind::deferred:
+      footprint_.add(Footprint::deferred);
+      for (std::size_t i = 0; i < shards_.size(); ++i) footprint_.shard(i);
+      return;
+    case Kind::reads:
+      return wire(clients_[choice.a].wire);
+    case Kind::idle_close:  // whose budget has no bit
+    case Kind::list:
+    case Kind::pass:
+    case Kind::stall:
+      return footprint_.all();
+  }
+}
+
 void Sim::act(const Choice& choice) {
   {
     scratch_.clear();
@@ -681,7 +787,8 @@
       auto& s = wire.session;
       s.cancel_read = true;
       wire.end = true;
-      auto& target = *wires_.at(s.cancels - 1);
+      auto& target = *named(s.cancels);
+      footprint_.wire(target.id);
       auto& running = target.session;
       if (target.closed || target.end || target.reset || running.running.empty()) return;
       properties_.cancel_met(s.running, running.running, running.statements == s.cancel_target);
@@ -764,6 +871,7 @@
   wire.session.ended = std::exchange(wire.session.running, {});
   wire.session.extended = false;
   wire.session.unrun = proven_unrun;
+  if (proven_unrun) footprint_.add(Footprint::properties);
   if (proven_unrun) properties_.never_began(wire.session.ended);
 }
 
@@ -850,6 +958,18 @@
   return hash_of(out);
 }
 
+Hash Sim::names() const {
+  auto& out = scratch_;
+  out.clear();
+  for (const auto& wire : wires_) {
+    put(out, static_cast<std::uint64_t>(wire->to));
+    put(out, static_cast<std::uint64_t>(wire->shard) << 32 | static_cast<std::uint64_t>(wire->peer) << 16 |
+                 wire->ordinal);
+  }
+  for (const auto& timer : timers_) put(out, timer->alive ? timer->due : Time::min());
+  return hash_of(out);
+}
+
 std::optional<Choice> Sim::fair() const {
   std::vector<Choice> all;
   choices(all);
--- a/src/explore/world.hpp
+++ b/src/explore/world.hpp
@@ -41,6 +41,12 @@
   unsigned room = 0;       // bytes that a client's side takes before it must read; 0: no limit
   bool liar = false;       // engines answer with rows of another request: what the search must find
   bool pipelined = false;  // clients send their next request before an answer
+  [[nodiscard]] bool graphql() const {
+    for (const auto& client : clients)
+      for (const auto& asked : client)
+        if (!asked.graphql.empty()) return true;
+    return false;
+  }
 };
 
 enum class Kind : std::uint8_t {
@@ -73,6 +79,23 @@
   bool operator==(const Choice&) const = default;
 };
 
+// What one step read or changed, a bit each: two steps whose bits have none in common may come in either
+// order. Connections have bits of their own; what has none left over counts as all.
+class Footprint {
+ public:
+  enum Part : unsigned { strand, told, dials, draws, timers, deferred, properties, splits, leaves, failures };
+  void add(Part part) { bits_ |= 1ULL << part; }
+  void shard(std::size_t shard) { bit(10 + shard, 14); }
+  void orders(std::size_t shard) { bit(14 + shard, 18); }
+  void wire(std::size_t wire) { bit(18 + wire, 64); }
+  void all() { bits_ = ~0ULL; }
+  [[nodiscard]] bool apart(const Footprint& other) const { return (bits_ & other.bits_) == 0; }
+
+ private:
+  void bit(std::size_t n, std::size_t end) { n < end ? void(bits_ |= 1ULL << n) : all(); }
+  std::uint64_t bits_ = 0;
+};
+
 // What all runs of a plan share: the configuration and counters nobody reads.
 struct Setting {
   explicit Setting(const Plan& plan);
@@ -91,7 +114,10 @@
   Sim(const Sim&) = delete;
 
   void choices(std::vector<Choice>& out) const;
-  void take(const Choice& choice);                             // one of choices()
+  void take(const Choice& choice);                                         // one of choices()
+  [[nodiscard]] const Footprint& footprint() const { return footprint_; }  // of the last step
+  // Which connection and timer a number in a choice stands for. Two ways may name the same state differently.
+  [[nodiscard]] Hash names() const;
   [[nodiscard]] std::string text(const Choice& choice) const;  // what it would be now, for people
 
   // The state: equal hashes, equal futures. `exact`: by all choices so far, in order, so that no two are one;
@@ -133,9 +159,13 @@
     std::string in, body;
   };
   void act(const Choice& choice);
+  void touch(const Choice& choice);  // what it concerns by its kind
+  void runs(std::size_t shard);      // code of this shard
   void check_books();
   [[nodiscard]] Properties::Left remembered() const;
   [[nodiscard]] std::vector<std::string> without_client(bool by_itself) const;
+  static std::uint32_t process_of(const WireState& wire);  // that its engine tells
+  [[nodiscard]] std::shared_ptr<WireState> named(std::uint32_t process) const;
   void engine_reads(WireState& wire);
   void statement(WireState& wire, const std::string& text);
   void client_reads(WireState& wire, std::string_view bytes);
@@ -157,6 +187,7 @@
     Time due = Time::max();
     std::function<void()> then;
     bool alive = true, sweeper = false;
+    std::uint16_t shard = 0;
   };
   std::vector<std::shared_ptr<TimerState>> timers_;
   std::deque<std::function<void()>> deferred_;
@@ -168,6 +199,7 @@
   unsigned splits_, leaves_, failures_, drains_, idle_closes_, late_, stalls_, passes_;
   Properties properties_;
   Hash history_, strand_history_;
+  Footprint footprint_;
   std::map<std::uint64_t, Hash> ordered_;  // by ticket: what its shard was ordered, and when
   mutable std::string scratch_;
   std::unique_ptr<Strands> strands_;
--- a/tests/explore/explore_test.cpp
+++ b/tests/explore/explore_test.cpp
@@ -61,6 +61,29 @@
   for (const auto& [pair, met] : merged.met) EXPECT_TRUE(full.met.contains(pair));
 }
 
+// The reduction tries fewer steps and loses no state, no end and no pair.
+TEST(Search, ReducedVisitsEveryStateByFewerSteps) {
+  for (const auto* name : {"pool", "pool-stall", "two-loads", "shards"}) {
+    const auto& plan = *world_named(name);
+    const Bounds bounds{.states = kStates, .threads = 2};
+    auto every = bounds;
+    every.reduce = false;
+    const auto reduced = search(plan, bounds);
+    const auto full = search(plan, every);
+    EXPECT_EQ(reduced.states, full.states) << name;
+    EXPECT_EQ(reduced.outcomes, full.outcomes) << name;
+    EXPECT_EQ(reduced.met.size(), full.met.size()) << name;
+    EXPECT_LT(reduced.edges, full.edges) << name;
+    EXPECT_EQ(full.asleep, 0U) << name;
+  }
+}
+
+// What the reduction stands on: steps said to have nothing in common come in either order to one state.
+TEST_P(Worlds, StepsWithNothingInCommonCommute) {
+  const auto commuted = commute(GetParam(), {.states = kStates / 20});
+  EXPECT_EQ(commuted.wrong, "");
+}
+
 TEST(Search, FindsEnginesThatAnswerForAnotherAndTheStoryPlaysAgain) {
   auto plan = *world_named("one");
   plan.liar = true;
