Explorer: worlds of restarts, groups, copies, probes, held data groups, turns, thirds

What the search had not tried: a router that dies and begins anew with its clients connecting again, a group with room for one, second copies, probes, a load that holds its data group while a reader stands still, two requests of one order key, three engines, three requests, an engine that drains and comes back. A test sees that these worlds meet what they are about, and do not without it. The drain world lets time pass while things are on their way, past the grace, as a list that never reached the shards was not found without it.

--- a/src/explore/search.cpp
+++ b/src/explore/search.cpp
@@ -311,7 +311,7 @@
   for (const auto& line : file.strings("choices")) {
     unsigned kind = 0, a = 0, b = 0;
     if (std::sscanf(line.c_str(), "%u %u %u", &kind, &a, &b) != 3 ||
-        kind > static_cast<unsigned>(Kind::reads))
+        kind > static_cast<unsigned>(Kind::restart))
       file.fail("choices", "expected three whole numbers, such as \"4 0 0\", not \"" + line + "\"");
     story.choices.push_back(
         {static_cast<Kind>(kind), static_cast<std::uint16_t>(a), static_cast<std::uint8_t>(b)});
--- a/src/explore/world.hpp
+++ b/src/explore/world.hpp
@@ -37,8 +37,11 @@
   unsigned late = 0;         // times that pass while events wait
   unsigned stalls = 0;       // the whole router without a turn for a while
   unsigned passes = 6;       // times that pass with nothing else to come
+  unsigned restarts = 0;     // the router dies, and another begins in its place
+  unsigned returns = 0;      // engines that drain and are listed as ready again
   std::chrono::milliseconds stall{400};
   unsigned room = 0;       // bytes that a client's side takes before it must read; 0: no limit
+  std::string more{};      // of the router's configuration, YAML
   bool liar = false;       // engines answer with rows of another request: what the search must find
   bool pipelined = false;  // clients send their next request before an answer
   [[nodiscard]] bool graphql() const {
@@ -65,10 +68,11 @@
   timer,       // timer a, whose time has come
   deferred,    // the shards' next deferred call
   due,         // the strand's own time has come
-  list,        // engine a is told draining
+  list,        // engine a is told draining (b 0) or ready again (b 1)
   pass,        // time goes on to the next thing that is due
   stall,       // the router has no turn for a while
   reads,       // client a reads what has come, and has room again
+  restart,     // the router dies, and another begins in its place
 };
 enum class Answering : std::uint8_t { whole, half, turned_away, error, reset };
 
@@ -172,6 +176,9 @@
   void ended(WireState& wire, bool proven_unrun);
   void delivered(WireState& wire);
   void pass(bool stalled);
+  void boot();
+  void die();
+  [[nodiscard]] bool stands_still(const WireState& wire) const;
   std::shared_ptr<WireState> add_wire(std::uint16_t shard, bool to_engine, std::uint16_t peer);
   [[nodiscard]] path::Listed listed() const;
   static std::uint64_t order_key(const path::Order& order);
@@ -196,7 +203,7 @@
   std::vector<Client> clients_;
   std::unique_ptr<path::Graphql> graphql_;
   std::vector<bool> draining_;  // by engine
-  unsigned splits_, leaves_, failures_, drains_, idle_closes_, late_, stalls_, passes_;
+  unsigned splits_, leaves_, failures_, drains_, idle_closes_, late_, stalls_, passes_, restarts_, returns_;
   Properties properties_;
   Hash history_, strand_history_;
   Footprint footprint_;
--- a/src/explore/worlds.cpp
+++ b/src/explore/worlds.cpp
@@ -40,6 +40,7 @@
                    .clients = {{{.id = "q1", .cls = "lookup"}}},
                    .failures = 1,
                    .drains = 1,
+                   .late = 2,
                    .passes = 3});
   plans.push_back(
       {.name = "pool",
@@ -129,6 +130,73 @@
        .clients = {{{.id = "d1", .timeout = 300ms, .graphql = "{r1 r2}", .statements = {"r1", "r2"}}}},
        .stalls = 1,
        .passes = 2});
+  plans.push_back({.name = "three",
+                   .about = "three engines that fail one after the other: all attempts used up",
+                   .engines = 3,
+                   .clients = {{{.id = "q1", .cls = "lookup"}}},
+                   .failures = 3,
+                   .passes = 2});
+  plans.push_back({.name = "thirds",
+                   .about = "a lookup, a load and a booking of three clients on one engine",
+                   .clients = {{{.id = "q1", .cls = "lookup"}},
+                               {{.id = "w1", .cls = "load"}},
+                               {{.id = "b1", .cls = "booking"}}},
+                   .failures = 1,
+                   .passes = 1});
+  plans.push_back({.name = "hold",
+                   .about = "a load that holds its data group, and a reader that stands still meanwhile",
+                   .engines = 2,
+                   .clients = {{{.id = "w1", .cls = "load", .data_group = 7}},
+                               {{.id = "q1", .cls = "lookup", .timeout = 400ms, .data_group = 7}}},
+                   .failures = 1,
+                   .passes = 3});
+  plans.push_back({.name = "turns",
+                   .about = "two requests of one order key, failures and a client that leaves",
+                   .engines = 2,
+                   .clients = {{{.id = "t1", .cls = "turn", .order_key = "a"}},
+                               {{.id = "t2", .cls = "turn", .order_key = "a"}}},
+                   .leaves = 1,
+                   .failures = 1,
+                   .passes = 1});
+  plans.push_back({.name = "group",
+                   .about = "a group with room for one: the second waits too long, or is refused at once",
+                   .clients = {{{.id = "q1", .cls = "lookup"}},
+                               {{.id = "q2", .cls = "lookup"}},
+                               {{.id = "w1", .cls = "load"}}},
+                   .leaves = 1,
+                   .passes = 3,
+                   .more = "groups: {groups: {team: {max_threads: 1, max_queued: 1, longest_wait: 200ms, "
+                           "query_time: 400ms}}, default: team}\n"});
+  plans.push_back({.name = "copies",
+                   .about = "second copies allowed: the first attempt hangs, both may answer",
+                   .engines = 2,
+                   .clients = {{{.id = "q1", .cls = "lookup"}}},
+                   .failures = 1,
+                   .passes = 3,
+                   .more = "allow: {second_copies: true}\n"});
+  plans.push_back({.name = "probe",
+                   .about = "engines are asked for their load; answers late, lost or in error",
+                   .engines = 2,
+                   .clients = {{{.id = "q1", .cls = "lookup"}}},
+                   .failures = 2,
+                   .passes = 4,
+                   .more = "loads: {fields: [inflight, util]}\n"});
+  plans.push_back({.name = "restart",
+                   .about = "the router dies with a request in it; clients connect again",
+                   .engines = 2,
+                   .clients = {{{.id = "w1", .cls = "load"}, {.id = "q1", .cls = "lookup"}}},
+                   .failures = 1,
+                   .drains = 1,
+                   .passes = 2,
+                   .restarts = 1});
+  plans.push_back({.name = "return",
+                   .about = "an engine drains and is listed as ready again while requests are on their way",
+                   .engines = 2,
+                   .clients = {{{.id = "q1", .cls = "lookup"}, {.id = "q2", .cls = "lookup"}}},
+                   .failures = 1,
+                   .drains = 1,
+                   .passes = 1,
+                   .returns = 1});
   return plans;
 }
 
--- a/tests/explore/explore_test.cpp
+++ b/tests/explore/explore_test.cpp
@@ -1,7 +1,9 @@
 // The explorer itself, and a small fixed search of every world for each build.
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <fstream>
+#include <functional>
 #include <iterator>
 #include <regex>
 
@@ -84,6 +86,26 @@
   EXPECT_EQ(commuted.wrong, "");
 }
 
+// A world is about what its name says: in some of its ways on, that happens.
+TEST(Search, WorldsMeetWhatTheyAreAbout) {
+  const auto meets = [](const char* name, const char* what, const std::function<void(Plan&)>& change) {
+    auto plan = *world_named(name);
+    change(plan);
+    const auto found = search(plan, {.states = kStates, .threads = 2});
+    return std::ranges::any_of(
+        found.outcomes, [what](const auto& outcome) { return outcome.find(what) != std::string::npos; });
+  };
+  const auto calm = [](Plan& plan) { plan.failures = 0; };
+  EXPECT_TRUE(meets("copies", "q1 sent 2", calm));  // no failure: the second is a copy
+  EXPECT_FALSE(meets("copies", "q1 sent 2", [](Plan& plan) { plan.failures = 0, plan.more.clear(); }));
+  EXPECT_TRUE(meets("probe", "probed", calm));
+  EXPECT_FALSE(meets("probe", "probed", [](Plan& plan) { plan.failures = 0, plan.more.clear(); }));
+  EXPECT_TRUE(meets("group", "q2 answer 503", [](Plan& plan) { plan.passes = 0; }));
+  EXPECT_FALSE(meets("group", "q2 answer 503", [](Plan& plan) { plan.passes = 0, plan.more.clear(); }));
+  EXPECT_TRUE(meets("restart", "w1 answer 0 cut", calm));
+  EXPECT_FALSE(meets("restart", "w1 answer 0 cut", [](Plan& plan) { plan.failures = plan.restarts = 0; }));
+}
+
 TEST(Search, FindsEnginesThatAnswerForAnotherAndTheStoryPlaysAgain) {
   auto plan = *world_named("one");
   plan.liar = true;
