--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -3,6 +3,7 @@
 #include <spdlog/sinks/basic_file_sink.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
+#include <sys/resource.h>
 
 #include <CLI/CLI.hpp>
 #include <boost/asio/io_context.hpp>
@@ -53,8 +54,18 @@
 }
 
 // ---- explore -------------------------------------------------------------------------------------------
-int run_search(const std::vector<std::string>& names, const explore::Bounds& bounds, bool pairs,
-               const std::string& folder) {
+double peak_mib() {
+  rusage used{};
+  getrusage(RUSAGE_SELF, &used);
+  return static_cast<double>(used.ru_maxrss) / 1024;
+}
+
+struct Limits {
+  double seconds = 0, mib = 0;  // of a world, of the process; 0: none
+};
+
+int run_search(const std::vector<std::string>& names, explore::Bounds bounds, const Limits& limits,
+               bool pairs, const std::string& folder) {
   std::vector<explore::Plan> plans;
   for (const auto& name : names) {
     const auto* plan = explore::world_named(name);
@@ -65,15 +76,20 @@
   if (names.empty()) plans = explore::worlds();
   bool broken = false;
   std::map<explore::Pair, explore::Met> met;
-  std::cout << fmt::format("{:10} {:>9} {:>9} {:>9} {:>6} {:>8} {:>10} {:>9}\n", "world", "states", "events",
-                           "left out", "depth", "seconds", "states/s", "left over");
+  std::cout << fmt::format("{:10} {:>9} {:>9} {:>9} {:>6} {:>8} {:>10} {:>9} {:>9}\n", "world", "states",
+                           "events", "left out", "depth", "seconds", "states/s", "left over", "peak MiB");
   for (const auto& plan : plans) {
     const auto begun = std::chrono::steady_clock::now();
+    bounds.enough = [&] {
+      const std::chrono::duration<double> so_far = std::chrono::steady_clock::now() - begun;
+      return (limits.seconds > 0 && so_far.count() > limits.seconds) ||
+             (limits.mib > 0 && peak_mib() > limits.mib);
+    };
     const auto found = explore::search(plan, bounds);
     const std::chrono::duration<double> took = std::chrono::steady_clock::now() - begun;
-    std::cout << fmt::format("{:10} {:9} {:9} {:9} {:6} {:8.2f} {:10.0f} {:9}\n", plan.name, found.states,
-                             found.edges, found.asleep, found.depth, took.count(),
-                             static_cast<double>(found.states) / took.count(), found.unexplored)
+    std::cout << fmt::format("{:10} {:9} {:9} {:9} {:6} {:8.2f} {:10.0f} {:9} {:9.0f}\n", plan.name,
+                             found.states, found.edges, found.asleep, found.depth, took.count(),
+                             static_cast<double>(found.states) / took.count(), found.unexplored, peak_mib())
               << std::flush;
     for (const auto& [pair, one] : found.met) met[pair].times += one.times, met[pair].to = one.to;
     if (pairs)
@@ -456,12 +472,15 @@
   std::vector<std::string> world_names;
   explore::Bounds bounds;
   bounds.threads = std::max(1U, std::thread::hardware_concurrency());
+  Limits limits;
   std::string story_file, stories;
   bool no_fair = false, pairs = false;
   auto* explore_run = exploring->add_subcommand("run", "Search named worlds, or all");
   explore_run->add_option("world", world_names, "Names; see 'explore worlds'");
   explore_run->add_option("--states", bounds.states, "States to visit at most, about")->capture_default_str();
   explore_run->add_option("--depth", bounds.depth, "Events from the start at most")->capture_default_str();
+  explore_run->add_option("--seconds", limits.seconds, "Of a world at most, about; 0: no limit");
+  explore_run->add_option("--memory", limits.mib, "MiB of this process at most, about; 0: no limit");
   explore_run->add_option("--threads", bounds.threads, "Threads");
   explore_run->add_flag("--exact", bounds.exact, "Merge no states: the full tree");
   explore_run->add_flag("!--no-reduction", bounds.reduce, "Try both orders of steps with nothing in common");
@@ -506,7 +525,7 @@
     if (*day_run) return run_day(file, folder);
     if (*auditing) return audit_day(folder);
     bounds.fair = !no_fair;
-    if (*explore_run) return run_search(world_names, bounds, pairs, stories);
+    if (*explore_run) return run_search(world_names, bounds, limits, pairs, stories);
     if (*explore_replay) return replay_story(story_file);
     if (*explore_worlds) return list_worlds();
     if (*explore_tables) return std::cout << explore::tables(), kDone;
--- a/src/explore/properties.cpp
+++ b/src/explore/properties.cpp
@@ -165,10 +165,14 @@
   for (const auto& [id, request] : requests_)
     if (request.arrived && !request.whole && !request.died && std::ranges::find(excused, id) == excused.end())
       fails("each request gets its final answer", id + " got none");
-  if (left.open + left.remembered + left.exchanges + left.attempts + left.cancels != 0)
+  if (left.open + left.remembered + left.exchanges + left.attempts + left.cancels + left.queued +
+          left.running !=
+      0)
     fails("nothing is remembered after the last request",
-          fmt::format("host: {} open, {} remembered; shards: {} exchanges, {} attempts, {} cancel requests",
-                      left.open, left.remembered, left.exchanges, left.attempts, left.cancels));
+          fmt::format("host: {} open, {} remembered; shards: {} exchanges, {} attempts, {} cancel requests; "
+                      "module: {} queued, {} threads running",
+                      left.open, left.remembered, left.exchanges, left.attempts, left.cancels, left.queued,
+                      left.running));
 }
 
 unsigned Properties::rows(const std::string& id) const {
--- a/src/explore/properties.hpp
+++ b/src/explore/properties.hpp
@@ -73,6 +73,7 @@
   // When the fair way on has ended. `excused`: requests whose client left, or whose connection was closed.
   struct Left {
     std::size_t open = 0, remembered = 0, exchanges = 0, attempts = 0, cancels = 0;
+    std::size_t queued = 0, running = 0;  // of the module: requests, threads
   };
   void end(const Left& left, const std::vector<std::string>& excused);
 
--- a/src/explore/search.cpp
+++ b/src/explore/search.cpp
@@ -198,6 +198,7 @@
       }
     }
     level = std::move(next);
+    if (bounds.enough && bounds.enough()) break;
   }
   found.states = nodes.size();
   found.unexplored = level.size();
--- a/src/explore/search.hpp
+++ b/src/explore/search.hpp
@@ -6,6 +6,7 @@
 #pragma once
 
 #include <cstddef>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -21,9 +22,10 @@
   std::size_t states = 200'000;  // at most, about: a level is finished
   std::size_t depth = 200;       // choices from the start
   unsigned threads = 1;
-  bool exact = false;  // states by their whole history: nothing is merged
-  bool fair = true;    // from each new state, the fair way on must end well
-  bool reduce = true;  // by sleep sets, unless exact
+  bool exact = false;              // states by their whole history: nothing is merged
+  bool fair = true;                // from each new state, the fair way on must end well
+  bool reduce = true;              // by sleep sets, unless exact
+  std::function<bool()> enough{};  // asked after each level: time or memory is used up
 };
 
 struct Story {
--- a/src/explore/world.cpp
+++ b/src/explore/world.cpp
@@ -278,6 +278,7 @@
       passes_(setting.plan.passes),
       restarts_(setting.plan.restarts),
       returns_(setting.plan.returns),
+      hangs_(setting.plan.hangs),
       properties_(setting.plan.engines, setting.config.module.drain_grace, kWindow,
                   setting.config.module.second_copies ? 2 : 1) {
   for (const auto& client : setting.plan.clients)
@@ -585,7 +586,8 @@
       if (!s.half.empty()) {
         put(Kind::finish, wire->id);
       } else {
-        if (stands_still(*wire)) continue;
+        if (s.hung || stands_still(*wire)) continue;
+        if (hangs_ > 0) put(Kind::answer, wire->id, static_cast<unsigned>(Answering::never));
         put(Kind::answer, wire->id, static_cast<unsigned>(Answering::whole));
         if (splits_ > 0) put(Kind::answer, wire->id, static_cast<unsigned>(Answering::half));
         if (failures_ > 0) {
@@ -669,7 +671,7 @@
     case Kind::answer:
       footprint_.wire(choice.a);
       if (choice.b == static_cast<unsigned>(Answering::half)) footprint_.add(Footprint::splits);
-      if (choice.b > static_cast<unsigned>(Answering::half)) footprint_.add(Footprint::failures);
+      if (choice.b > static_cast<unsigned>(Answering::half)) footprint_.add(Footprint::failures);  // or hangs
       if (properties_.data_group(wires_[choice.a]->session.running) != 0) footprint_.all();
       return;
     case Kind::finish:
@@ -819,6 +821,10 @@
                                              : sql::ErrorText{"ERROR", "53300", "too many connections"});
           sql::put_ready(wire.to_router);
           return ended(wire, static_cast<Answering>(choice.b) == Answering::turned_away);
+        case Answering::never:
+          --hangs_;
+          s.hung = true;
+          return;
         case Answering::reset:
           --failures_;
           wire.reset = true;
@@ -941,7 +947,7 @@
 // The engine has ended the statement, and the answer is on its way.
 void Sim::ended(WireState& wire, bool proven_unrun) {
   wire.session.ended = std::exchange(wire.session.running, {});
-  wire.session.extended = false;
+  wire.session.extended = wire.session.hung = false;
   wire.session.unrun = proven_unrun;
   if (proven_unrun) footprint_.add(Footprint::properties);
   if (proven_unrun) properties_.never_began(wire.session.ended);
@@ -977,8 +983,8 @@
   auto& out = scratch_;
   out.clear();
   put(out, now_);
-  for (const auto budget :
-       {splits_, leaves_, failures_, drains_, idle_closes_, late_, stalls_, passes_, restarts_, returns_})
+  for (const auto budget : {splits_, leaves_, failures_, drains_, idle_closes_, late_, stalls_, passes_,
+                            restarts_, returns_, hangs_})
     put(out, budget);
   put(out, drawn_);
   for (const auto& client : clients_) {
@@ -998,7 +1004,8 @@
     put(out, wire->to_router);
     put(out, (wire->connecting ? 1U : 0U) | (wire->reading ? 2U : 0U) | (wire->closed ? 4U : 0U) |
                  (wire->end ? 8U : 0U) | (wire->reset ? 16U : 0U) | (wire->seen ? 32U : 0U) |
-                 (s.cancel_read ? 64U : 0U) | (s.unrun ? 128U : 0U) | (wire->gone ? 256U : 0U));
+                 (s.cancel_read ? 64U : 0U) | (s.unrun ? 128U : 0U) | (wire->gone ? 256U : 0U) |
+                 (s.hung ? 512U : 0U));
     put(out, wire->room << 1 | (wire->room_wanted ? 1U : 0U));
     put(out, wire->arrived.value_or(Time::zero()));
     put(out, s.running);
@@ -1064,6 +1071,11 @@
   Properties::Left left;
   left.open = strand_->host().open();
   left.remembered = strand_->host().remembered();
+  for (std::size_t c = 0; c < setting_.config.module.classes.size(); ++c) {
+    const auto view = strand_->host().gateway().view(static_cast<ClassIndex>(c));
+    left.queued += view.queued;
+    left.running += static_cast<std::size_t>(view.running);
+  }
   for (const auto& shard : shards_) {
     const auto books = shard->books();
     left.exchanges += books.exchanges;
@@ -1120,8 +1132,12 @@
     case Kind::over:
       return fmt::format("the router reads the {} of {}", choice.b == 0 ? "end" : "reset", wire(choice.a));
     case Kind::answer: {
-      constexpr std::array<const char*, 5> how{"answers", "answers the first half of", "turns away (53300)",
-                                               "answers an error to", "resets instead of answering"};
+      constexpr std::array<const char*, 6> how{"answers",
+                                               "answers the first half of",
+                                               "turns away (53300)",
+                                               "answers an error to",
+                                               "resets instead of answering",
+                                               "will never answer"};
       return fmt::format("{} {}{} on {}", engine_name(wires_[choice.a]->peer), how.at(choice.b),
                          more(choice.a), wire(choice.a));
     }
--- a/src/explore/world.hpp
+++ b/src/explore/world.hpp
@@ -38,6 +38,7 @@
   unsigned stalls = 0;       // the whole router without a turn for a while
   unsigned passes = 6;       // times that pass with nothing else to come
   unsigned restarts = 0;     // the router dies, and another begins in its place
+  unsigned hangs = 0;        // statements that engines never answer, unless cancelled
   unsigned returns = 0;      // engines that drain and are listed as ready again
   std::chrono::milliseconds stall{400};
   unsigned room = 0;       // bytes that a client's side takes before it must read; 0: no limit
@@ -74,7 +75,7 @@
   reads,       // client a reads what has come, and has room again
   restart,     // the router dies, and another begins in its place
 };
-enum class Answering : std::uint8_t { whole, half, turned_away, error, reset };
+enum class Answering : std::uint8_t { whole, half, turned_away, error, reset, never };
 
 struct Choice {
   Kind kind = Kind::pass;
@@ -147,6 +148,7 @@
     std::string text, running, half;  // running: the id of the statement, empty: none
     bool extended = false;
     std::string ended;                // the statement whose answer is on its way
+    bool hung = false;                // it never ends by itself
     bool unrun = false;               // that answer proves that it never began
     std::uint64_t statements = 0;     // so far
     std::uint32_t cancels = 0;        // of a cancel wire: the process it names,
@@ -203,7 +205,8 @@
   std::vector<Client> clients_;
   std::unique_ptr<path::Graphql> graphql_;
   std::vector<bool> draining_;  // by engine
-  unsigned splits_, leaves_, failures_, drains_, idle_closes_, late_, stalls_, passes_, restarts_, returns_;
+  unsigned splits_, leaves_, failures_, drains_, idle_closes_, late_, stalls_, passes_, restarts_, returns_,
+      hangs_;
   Properties properties_;
   Hash history_, strand_history_;
   Footprint footprint_;
--- a/src/explore/worlds.cpp
+++ b/src/explore/worlds.cpp
@@ -189,6 +189,14 @@
                    .drains = 1,
                    .passes = 2,
                    .restarts = 1});
+  plans.push_back(
+      {.name = "hang",
+       .about = "an engine never answers: time-out, cancel, its end",
+       .engines = 2,
+       .clients = {{{.id = "q1", .cls = "lookup", .timeout = 400ms}, {.id = "q2", .cls = "lookup"}}},
+       .leaves = 1,
+       .passes = 3,
+       .hangs = 1});
   plans.push_back({.name = "return",
                    .about = "an engine drains and is listed as ready again while requests are on their way",
                    .engines = 2,
