--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -27,6 +27,7 @@
 #include "config/config.hpp"
 #include "daemon/server.hpp"
 #include "emulator/play.hpp"
+#include "emulator/swarm.hpp"
 #include "explore/search.hpp"
 #include "fleet/list.hpp"
 #include "rehearsal/audit.hpp"
@@ -367,8 +368,27 @@
       "{}\n{:.1f} s of virtual time in {:.2f} s ({:.1f} times), {} events ({:.0f} a second)\n",
       rehearsal::text_of(played.report), virtual_s, took.count(), virtual_s / took.count(), played.events,
       static_cast<double>(played.events) / took.count());
+  for (const auto& left : played.left) std::cout << left << "\n";
   if (!folder.empty()) std::cout << "records in " << folder << "; heronwell audit " << folder << std::endl;
-  return kDone;
+  return played.left.empty() ? kDone : kFailed;
+}
+
+int run_swarm(const emulator::SwarmPlan& plan) {
+  const auto begun = std::chrono::steady_clock::now();
+  const auto swept = emulator::swarm(plan);
+  const std::chrono::duration<double> took = std::chrono::steady_clock::now() - begun;
+  for (const auto& found : swept.findings)
+    std::cout << fmt::format("day {}: {}\n  {} of {} troubles left; heronwell emulate {} --out FOLDER\n",
+                             found.seed, found.what, found.left, found.troubles, found.file);
+  std::string kinds;
+  for (const auto& [kind, times] : swept.troubles) kinds += fmt::format(" {} {}", kind, times);
+  std::cout << fmt::format("troubles:{}\n", kinds);
+  std::cout << fmt::format(
+      "{} days, {:.0f} s of virtual time, {} events in {:.1f} s ({:.0f} days a minute); {} cases checked, {} "
+      "days broke something\n",
+      swept.days, milliseconds(swept.virtual_time) / 1e3, swept.events, took.count(),
+      static_cast<double>(swept.days) / took.count() * 60, swept.cases, swept.findings.size());
+  return swept.findings.empty() ? kDone : kFailed;
 }
 
 }  // namespace
@@ -457,6 +477,15 @@
   emulating->add_option("--out", folder, "Folder for its records; without: none are kept");
   emulating->add_option("--seed", day_seed, "In place of the day's");
 
+  auto* swarming = app.add_subcommand("swarm", "Play and audit days of troubles drawn at random");
+  emulator::SwarmPlan swarm_plan;
+  swarm_plan.threads = std::max(1U, std::thread::hardware_concurrency());
+  swarming->add_option("file", swarm_plan.base, "Day file: clients, classes and rules")->required();
+  swarming->add_option("--out", swarm_plan.folder, "Folder for days that break something")->required();
+  swarming->add_option("--days", swarm_plan.days)->capture_default_str();
+  swarming->add_option("--seed", swarm_plan.seed, "Of the first day")->capture_default_str();
+  swarming->add_option("--threads", swarm_plan.threads);
+
   auto* auditing = app.add_subcommand("audit", "Prove the seven rules from a day's records");
   auditing->add_option("folder", folder, "Folder of a day's records")->required();
 
@@ -543,6 +572,7 @@
     if (*load) return run_load(file, ports, start, record);
     if (*day_run) return run_day(file, folder);
     if (*emulating) return emulate(file, folder, day_seed);
+    if (*swarming) return run_swarm(swarm_plan);
     if (*auditing) return audit_day(folder);
     bounds.fair = !no_fair;
     if (*explore_run) return run_search(world_names, bounds, limits, pairs, stories);
--- a/src/emulator/gateway.cpp
+++ b/src/emulator/gateway.cpp
@@ -179,6 +179,7 @@
 Gateway::~Gateway() { kill(); }
 
 void Gateway::begin() {
+  kill();
   process_.begin();
   life_ = std::make_unique<Life>(*this);
   life_->strand.on_ready([this] {
--- a/src/emulator/play.cpp
+++ b/src/emulator/play.cpp
@@ -20,6 +20,7 @@
 constexpr Time kUnixOffset = 1'700'000'000s - kBegin;  // any will do that is the same in each run
 constexpr Time kBeforeDay = 500ms;                     // for routers to read the list
 constexpr Time kLongestEnd = 120s;                     // after the day, for its last requests
+constexpr Time kLongestLeft = 60s;                     // for routers to forget what was called off
 constexpr std::uint16_t kEnginePorts = 10'000, kGatewayPorts = 30'000;
 
 class Stage final : rehearsal::Actors {
@@ -54,17 +55,30 @@
     while (!(clients.done() && loop_.now() >= start + day_.length) && loop_.now() < longest && loop_.step()) {
     }
     until(loop_.now() + day_.tail);
+    const auto forget = loop_.now() + kLongestLeft;
+    while (!left_over().empty() && loop_.now() < forget && loop_.step()) {
+    }
     client_recorder_.whole(loop_.now());
     list_recorder_.whole(loop_.now());
     for (auto& engine : engines_) engine->end();
     recorder_.whole(loop_.now());
-    Played played{clients.report(), loop_.now() - kBegin, loop_.events()};
+    Played played{clients.report(), loop_.now() - kBegin, loop_.events(), left_over()};
     loop_.end();
     for (auto& gateway : gateways_) gateway->kill();
     return played;
   }
 
  private:
+  [[nodiscard]] std::vector<std::string> left_over() const {
+    std::vector<std::string> left;
+    for (const auto& gateway : gateways_) {
+      const auto* host = gateway->host();
+      if (host == nullptr || host->open() + host->remembered() + gateway->open() == 0) continue;
+      left.push_back(fmt::format("{} still has {} requests open, {} remembered, {} in its shards",
+                                 gateway->config().name, host->open(), host->remembered(), gateway->open()));
+    }
+    return left;
+  }
   void until(Time moment) {
     loop_.at(moment, [] {});
     while (loop_.now() < moment && loop_.step()) {
--- a/src/emulator/play.hpp
+++ b/src/emulator/play.hpp
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <string>
+#include <vector>
 
 #include "emulator/network.hpp"
 #include "rehearsal/plan.hpp"
@@ -16,6 +17,7 @@
   rehearsal::LoadReport report;
   Time virtual_time{};
   std::uint64_t events = 0;
+  std::vector<std::string> left;  // what routers still had long after the last request; none is right
 };
 
 // `folder`: gets the records, and a copy of the day; empty: nothing is kept. Throws yaml::Error for a wrong
--- /dev/null
+++ b/src/emulator/swarm.cpp
@@ -0,0 +1,182 @@
+#include "emulator/swarm.hpp"
+
+#include <fmt/format.h>
+#include <yaml-cpp/yaml.h>
+
+#include <algorithm>
+#include <atomic>
+#include <exception>
+#include <filesystem>
+#include <fstream>
+#include <mutex>
+#include <pcg_random.hpp>
+#include <random>
+#include <thread>
+
+#include "emulator/play.hpp"
+#include "rehearsal/audit.hpp"
+
+namespace heronwell::emulator {
+namespace {
+
+using rehearsal::TroubleKind;
+
+class Dice {
+ public:
+  explicit Dice(std::uint64_t seed) : random_(seed) {}
+  unsigned whole(unsigned least, unsigned most) {  // both may come
+    return least + static_cast<unsigned>(random_(most - least + 1));
+  }
+  double part(double least, double most) {
+    return least + (most - least) * std::generate_canonical<double, 32>(random_);
+  }
+
+ private:
+  pcg64 random_;
+};
+
+// How large a trouble of this kind may be.
+std::pair<double, double> sizes(TroubleKind kind) {
+  using enum TroubleKind;
+  switch (kind) {
+    case engine_slow:
+      return {2, 10};
+    case loads_late:
+    case list_late:
+      return {100, 3000};  // ms
+    case burst:
+      return {0.5, 3};
+    case hot_group:
+      return {0.2, 0.9};
+    case hang_ups:
+      return {0.05, 0.4};
+    default:
+      return {0.05, 0.6};  // chances
+  }
+}
+
+std::string milliseconds_text(double ms) { return fmt::format("{:.0f}ms", ms); }
+
+YAML::Node draw_trouble(Dice& dice, unsigned gateways, unsigned engines, double length_ms) {
+  // All kinds but a flood and a change of groups, which need tenants and plans.
+  auto kind = static_cast<TroubleKind>(dice.whole(0, static_cast<unsigned>(TroubleKind::hang_ups)));
+  if (kind == TroubleKind::flood) kind = TroubleKind::burst;
+  YAML::Node trouble;
+  trouble["kind"] = std::string(rehearsal::name_of(kind));
+  const double at = dice.part(0, 0.7 * length_ms);
+  trouble["at"] = milliseconds_text(at);
+  trouble["for"] = milliseconds_text(dice.part(0.02, 0.28) * length_ms);
+  const auto [least, most] = sizes(kind);
+  trouble["size"] = fmt::format("{:.3f}", dice.part(least, most));
+  const bool of_gateways = kind == TroubleKind::gateway_stop || kind == TroubleKind::gateway_kill;
+  const unsigned many = of_gateways ? gateways : kind <= TroubleKind::loads_late ? engines : 0;
+  if (many == 0) return trouble;
+  const bool all = dice.whole(0, 7) == 0;
+  const auto one = dice.whole(0, many - 1);
+  for (unsigned i = 0; i < many; ++i)
+    if (all || i == one || dice.whole(0, 4) == 0) trouble["targets"].push_back(i);
+  return trouble;
+}
+
+YAML::Node draw_day(const YAML::Node& base, std::uint64_t seed, double length_ms) {
+  Dice dice(seed);
+  auto day = YAML::Clone(base);
+  day["day"]["seed"] = seed;
+  const auto gateways = dice.whole(1, 4), engines = dice.whole(2, 6);
+  day["gateways"]["count"] = gateways;
+  day["gateways"]["threads"] = dice.whole(1, 2);
+  day["engines"]["count"] = engines;
+  day["troubles"] = YAML::Node(YAML::NodeType::Sequence);
+  for (unsigned left = dice.whole(1, 8); left > 0; --left)
+    day["troubles"].push_back(draw_trouble(dice, gateways, engines, length_ms));
+  return day;
+}
+
+struct Tried {
+  std::string broken;  // empty: nothing
+  Played played;
+  std::uint64_t cases = 0;
+};
+
+Tried try_day(const YAML::Node& yaml, const std::string& file) {
+  std::ofstream(file) << YAML::Dump(yaml) << "\n";
+  const auto records = file + ".records";
+  const auto day = rehearsal::read_day(file);
+  Tried tried;
+  tried.played = play(day, {}, records);
+  const auto audit = rehearsal::audit(records);
+  std::filesystem::remove_all(records);
+  tried.cases = audit.checked();
+  if (!audit.breaks.empty()) {
+    const auto& first = audit.breaks.front();
+    tried.broken = fmt::format("rule {}: request {}, {}, {}: {}", first.rule, first.request, first.gateway,
+                               first.engine, first.what);
+  } else if (!audit.unreliable.empty()) {
+    tried.broken = audit.unreliable.front();
+  } else if (!tried.played.left.empty()) {
+    tried.broken = tried.played.left.front();
+  }
+  return tried;
+}
+
+// Leaves out one trouble after the other, as long as something still breaks.
+YAML::Node smaller(const YAML::Node& day, const std::string& file) {
+  auto smallest = YAML::Clone(day);
+  for (std::size_t i = smallest["troubles"].size(); i-- > 0;) {
+    auto less = YAML::Clone(smallest);
+    less["troubles"].remove(i);
+    if (!try_day(less, file).broken.empty()) smallest = less;
+  }
+  return smallest;
+}
+
+}  // namespace
+
+Swept swarm(const SwarmPlan& plan) {
+  std::filesystem::create_directories(plan.folder);
+  const auto checked = rehearsal::read_day(plan.base);  // its errors have places
+  const double length_ms = milliseconds(checked.length);
+  Swept swept;
+  std::mutex mutex;
+  std::atomic<unsigned> at = 0;
+  std::exception_ptr failed;
+  const auto work = [&] {
+    try {
+      const auto base = YAML::LoadFile(plan.base);
+      for (unsigned i = at++; i < plan.days; i = at++) {
+        const auto seed = plan.seed + i;
+        const auto file = fmt::format("{}/day-{}.yaml", plan.folder, seed);
+        const auto day = draw_day(base, seed, length_ms);
+        const auto tried = try_day(day, file);
+        std::optional<Finding> finding;
+        if (!tried.broken.empty()) {
+          const auto small = smaller(day, file);
+          finding = Finding{seed, try_day(small, file).broken, file, day["troubles"].size(),
+                            small["troubles"].size()};
+        } else {
+          std::filesystem::remove(file);
+        }
+        const std::lock_guard lock(mutex);
+        ++swept.days;
+        swept.cases += tried.cases;
+        swept.events += tried.played.events;
+        swept.virtual_time += tried.played.virtual_time;
+        for (const auto& trouble : day["troubles"]) ++swept.troubles[trouble["kind"].as<std::string>()];
+        if (finding) swept.findings.push_back(*finding);
+      }
+    } catch (...) {
+      const std::lock_guard lock(mutex);
+      failed = std::current_exception();
+      at = plan.days;
+    }
+  };
+  std::vector<std::thread> threads;
+  for (unsigned i = 1; i < plan.threads; ++i) threads.emplace_back(work);
+  work();
+  for (auto& thread : threads) thread.join();
+  if (failed) std::rethrow_exception(failed);
+  std::ranges::sort(swept.findings, {}, &Finding::seed);
+  return swept;
+}
+
+}  // namespace heronwell::emulator
--- a/src/rehearsal/plan.cpp
+++ b/src/rehearsal/plan.cpp
@@ -101,7 +101,7 @@
   head.close();
   if (day.length < 1s || day.length > 10min) head.fail("length", "expected a duration from 1s to 10min");
   auto gateways = file.section("gateways");
-  day.gateways = static_cast<unsigned>(gateways.count("count", 1, 1, 64));
+  day.gateways = static_cast<unsigned>(gateways.count("count", 1, 1, 1000));
   day.threads = static_cast<unsigned>(gateways.count("threads", 1, 1, 16));
   gateways.close();
   auto engines = file.section("engines");
