--- a/tests/emulator/emulator_test.cpp
+++ b/tests/emulator/emulator_test.cpp
@@ -6,6 +6,7 @@
 #include <iterator>
 
 #include "emulator/play.hpp"
+#include "emulator/swarm.hpp"
 #include "rehearsal/audit.hpp"
 
 namespace heronwell::emulator {
@@ -222,6 +223,21 @@
   }
 }
 
+TEST(Swarms, DrawTheSameDaysOnAnyNumberOfThreadsAndFindNothingToday) {
+  SwarmPlan plan{.base = HERONWELL_DAYS "/ci-day.yaml", .folder = folder_of("swarm"), .seed = 11};
+  plan.days = kSeeds * 2;
+  const auto one = swarm(plan);
+  EXPECT_EQ(one.days, plan.days);
+  EXPECT_GT(one.cases, plan.days * 1000);
+  for (const auto& found : one.findings) ADD_FAILURE() << found.seed << ": " << found.what;
+  EXPECT_TRUE(std::filesystem::is_empty(plan.folder));
+  plan.threads = 3;
+  const auto three = swarm(plan);
+  EXPECT_EQ(one.events, three.events);
+  EXPECT_EQ(one.cases, three.cases);
+  EXPECT_EQ(one.troubles, three.troubles);
+}
+
 TEST(Days, ThatCannotBeEmulatedAreRefused) {
   auto day = rehearsal::read_day(HERONWELL_DAYS "/ci-day.yaml");
   day.relay.repeat = 0.1;
