Stand-in engine: a closed session lets go of its link, so that neither outlives its context

Sessions and links held each other until the connection's reader had ended, which it never does where the event loop is destroyed first: three tests with sockets leaked under sanitizers.

--- a/src/rehearsal/engine_core.cpp
+++ b/src/rehearsal/engine_core.cpp
@@ -233,7 +233,7 @@
     c->in.erase(0, frame.size);
     if (!startup) return close(c, false);
     if (startup->code == sql::kSslCode || startup->code == sql::kGssCode) {
-      c->link->send("N", [] {});
+      send(c, "N", [] {});
     } else if (startup->code == sql::kCancelCode) {
       return cancel(c, *startup);
     } else {
@@ -243,11 +243,18 @@
   }
 }
 
+void EngineCore::send(const SessionPtr& c, std::string bytes, std::function<void()> then) {
+  if (c->closed) return;
+  c->link->send(std::move(bytes), [c, then = std::move(then)] {
+    if (!c->closed) then();
+  });
+}
+
 void EngineCore::over(SessionPtr c) { close(std::move(c), false); }
 
 void EngineCore::close(SessionPtr c, bool reset) {
   if (std::exchange(c->closed, true)) return;
-  c->link->close(reset);
+  std::exchange(c->link, nullptr)->close(reset);  // which holds the session in turn
   if (c->job != 0) {
     record("dropped", *c, c->request.id);
     model_.remove(world_.now(), c->job);
@@ -288,16 +295,16 @@
   std::string out;
   if (sessions_.size() > options_.traits.sessions + 8) {
     sql::put_error(out, {"FATAL", "53300", "too many connections"});
-    return c->link->send(std::move(out), [this, c] { close(c, false); });
+    return send(c, std::move(out), [this, c] { close(c, false); });
   }
   sql::put_authentication_ok(out);
   sql::put_parameter(out, "server_version", "15.0 (heronwell stand-in)");
   sql::put_parameter(out, "client_encoding", "UTF8");
   sql::put_key(out, c->process, c->secret);
   sql::put_ready(out);
-  if (faults_.slow_start <= Time::zero()) return c->link->send(std::move(out), [] {});
-  world_.after(faults_.slow_start, [c, out = std::move(out)] {
-    if (!c->closed) c->link->send(out, [] {});
+  if (faults_.slow_start <= Time::zero()) return send(c, std::move(out), [] {});
+  world_.after(faults_.slow_start, [this, c, out = std::move(out)] {
+    if (!c->closed) send(c, out, [] {});
   });
 }
 
@@ -368,7 +375,7 @@
     sql::put_error(out, {"ERROR", "42704", "unrecognized configuration parameter"});
   sql::put_ready(out);
   c->busy = true;
-  c->link->send(std::move(out), [this, c] {
+  send(c, std::move(out), [this, c] {
     c->busy = false;
     next_statement(c);
   });
@@ -386,7 +393,7 @@
   tell_load(out);
   sql::put_error(out, {"ERROR", code, message});
   sql::put_ready(out);
-  c->link->send(std::move(out), [this, c] {
+  send(c, std::move(out), [this, c] {
     c->busy = false;
     next_statement(c);
   });
@@ -441,11 +448,9 @@
 void EngineCore::rows(const SessionPtr& c, std::string out) {
   const std::string value = c->request.plain ? "1" : std::string(c->request.bytes, 'x');
   for (; c->rows_left > 0 && out.size() < kChunk; --c->rows_left) row(*c, value, out);
-  if (c->rows_left > 0) return c->link->send(std::move(out), [this, c] { rows(c, {}); });
-  if (c->cut)
-    return c->link->send(std::move(out), [this, c] { record("cut", *c, c->request.id), close(c, true); });
-  if (c->request.late_error)
-    return c->link->send(std::move(out), [this, c] { fail(c, c->request.error, "late"); });
+  if (c->rows_left > 0) return send(c, std::move(out), [this, c] { rows(c, {}); });
+  if (c->cut) return send(c, std::move(out), [this, c] { record("cut", *c, c->request.id), close(c, true); });
+  if (c->request.late_error) return send(c, std::move(out), [this, c] { fail(c, c->request.error, "late"); });
   if (options_.tells_cost && !c->request.plain)
     sql::put_notice(out, {"NOTICE", "01H04",
                           fmt::format("work_ms={:.3f} memory_mb={:.1f}", c->request.job.work * 1e3,
@@ -454,7 +459,7 @@
                                      c->request.no_rows ? c->request.rows : c->rows_sent));
   sql::put_ready(out);
   if (!c->request.plain) record("sent", *c, c->request.id);
-  c->link->send(std::move(out), [this, c] {
+  send(c, std::move(out), [this, c] {
     c->busy = false;
     next_statement(c);
   });
--- a/src/rehearsal/engine_core.hpp
+++ b/src/rehearsal/engine_core.hpp
@@ -109,6 +109,7 @@
   void tell_load(std::string& out);
   void finish(const SessionPtr& c);
   void rows(const SessionPtr& c, std::string out);
+  void send(const SessionPtr& c, std::string bytes, std::function<void()> then);  // then: if it is not closed
   void close(SessionPtr c, bool reset);
   void settle(Time now);
   void arm();
