--- a/src/rehearsal/day.cpp
+++ b/src/rehearsal/day.cpp
@@ -291,8 +291,9 @@
 
 LoadReport run_day(const Day& day, const std::string& folder, const std::string& program) {
   if (day.gateways > kMostProcesses)
-    throw yaml::Error(fmt::format("{}:1:1: gateways.count: at most {} as real processes; more can be emulated",
-                                  day.file, kMostProcesses));
+    throw yaml::Error(
+        fmt::format("{}:1:1: gateways.count: at most {} as real processes; more can be emulated", day.file,
+                    kMostProcesses));
   std::filesystem::create_directories(folder);
   for (const auto& old : std::filesystem::directory_iterator(folder))
     if (old.path().extension() == ".jsonl") std::filesystem::remove(old.path());  // of an earlier run
