--- a/src/emulator/swarm.cpp
+++ b/src/emulator/swarm.cpp
@@ -13,6 +13,7 @@
 #include <random>
 #include <thread>
 
+#include "base/yaml.hpp"
 #include "emulator/play.hpp"
 #include "rehearsal/audit.hpp"
 
@@ -78,6 +79,26 @@
   return trouble;
 }
 
+// What is stopped or dead can't be stopped or killed: records of it would contradict each other.
+bool strikes_twice(const YAML::Node& troubles, const YAML::Node& one) {
+  const auto strikes = [](const YAML::Node& trouble) {
+    const auto kind = trouble["kind"].as<std::string>();
+    return kind.ends_with("_kill") || kind.ends_with("_stop") || kind == "engine_hang";
+  };
+  const auto span = [](const YAML::Node& trouble) {
+    const auto at = yaml::parse_duration(trouble["at"].as<std::string>()).value_or(Time::zero());
+    return std::pair(at, at + yaml::parse_duration(trouble["for"].as<std::string>()).value_or(Time::zero()));
+  };
+  if (!strikes(one)) return false;
+  const auto [from, to] = span(one);
+  return std::ranges::any_of(troubles, [&, begin = from, end = to](const YAML::Node& other) {
+    const auto [other_from, other_to] = span(other);
+    const bool same_side =
+        one["kind"].as<std::string>().starts_with("g") == other["kind"].as<std::string>().starts_with("g");
+    return strikes(other) && same_side && begin <= other_to && other_from <= end;
+  });
+}
+
 YAML::Node draw_day(const YAML::Node& base, std::uint64_t seed, double length_ms) {
   Dice dice(seed);
   auto day = YAML::Clone(base);
@@ -87,8 +108,10 @@
   day["gateways"]["threads"] = dice.whole(1, 2);
   day["engines"]["count"] = engines;
   day["troubles"] = YAML::Node(YAML::NodeType::Sequence);
-  for (unsigned left = dice.whole(1, 8); left > 0; --left)
-    day["troubles"].push_back(draw_trouble(dice, gateways, engines, length_ms));
+  for (unsigned left = dice.whole(1, 8); left > 0; --left) {
+    const auto trouble = draw_trouble(dice, gateways, engines, length_ms);
+    if (!strikes_twice(day["troubles"], trouble)) day["troubles"].push_back(trouble);
+  }
   return day;
 }
 
