--- a/src/emulator/network.cpp
+++ b/src/emulator/network.cpp
@@ -91,10 +91,6 @@
 
 void End::arrive(const std::string& bytes) {
   if (reset_) return;
-  if (network_.chance(network_.settings().reset)) {
-    send(&End::reset_arrives);
-    return reset_arrives();
-  }
   in_ += bytes;
   stir();
 }
--- a/src/emulator/network.hpp
+++ b/src/emulator/network.hpp
@@ -19,7 +19,6 @@
   Time jitter{};                               // up to so much more, drawn for each piece
   std::size_t window = 256 << 10;              // bytes under way or unread, each way
   double refused = 0;                          // chance that a dial fails
-  double reset = 0;                            // chance that a piece of bytes resets its connection instead
   double lost = 0;                             // chance that a datagram is lost
 };
 
@@ -32,7 +31,6 @@
       : loop_(loop), settings_(settings), random_(seed) {}
   Loop& loop() { return loop_; }
   [[nodiscard]] const NetworkSettings& settings() const { return settings_; }
-  void change(const NetworkSettings& settings) { settings_ = settings; }
 
   using Accept = std::function<void(EndPtr)>;
   void listen(std::uint16_t port, Process& process, Accept accept);
--- a/src/emulator/play.cpp
+++ b/src/emulator/play.cpp
@@ -3,7 +3,6 @@
 #include <fmt/format.h>
 
 #include <filesystem>
-#include <stdexcept>
 
 #include "base/yaml.hpp"
 #include "emulator/clients.hpp"
--- a/src/emulator/play.hpp
+++ b/src/emulator/play.hpp
@@ -3,7 +3,6 @@
 // last byte.
 #pragma once
 
-#include <functional>
 #include <string>
 #include <vector>
 
--- a/src/rehearsal/engine.cpp
+++ b/src/rehearsal/engine.cpp
@@ -1,6 +1,6 @@
 #include "rehearsal/engine.hpp"
 
-#include <map>
+#include <array>
 
 #include "rehearsal/asio.hpp"
 
