--- a/src/emulator/swarm.cpp
+++ b/src/emulator/swarm.cpp
@@ -41,6 +41,8 @@
   using enum TroubleKind;
   switch (kind) {
     case engine_slow:
+    case engine_age:
+    case engine_noise:
       return {2, 10};
     case loads_late:
     case list_late:
@@ -69,7 +71,8 @@
   trouble["for"] = milliseconds_text(dice.part(0.02, 0.28) * length_ms);
   const auto [least, most] = sizes(kind);
   trouble["size"] = fmt::format("{:.3f}", dice.part(least, most));
-  const bool of_gateways = kind == TroubleKind::gateway_stop || kind == TroubleKind::gateway_kill;
+  const bool of_gateways = kind == TroubleKind::gateway_stop || kind == TroubleKind::gateway_kill ||
+                           kind == TroubleKind::busy_gateway;
   const unsigned many = of_gateways ? gateways : kind <= TroubleKind::loads_late ? engines : 0;
   if (many == 0) return trouble;
   const bool all = dice.whole(0, 7) == 0;
@@ -83,7 +86,8 @@
 bool strikes_twice(const YAML::Node& troubles, const YAML::Node& one) {
   const auto strikes = [](const YAML::Node& trouble) {
     const auto kind = trouble["kind"].as<std::string>();
-    return kind.ends_with("_kill") || kind.ends_with("_stop") || kind == "engine_hang";
+    return kind.ends_with("_kill") || kind.ends_with("_stop") || kind == "engine_hang" ||
+           kind == "engine_taken";
   };
   const auto span = [](const YAML::Node& trouble) {
     const auto at = yaml::parse_duration(trouble["at"].as<std::string>()).value_or(Time::zero());
--- a/src/rehearsal/plan.hpp
+++ b/src/rehearsal/plan.hpp
@@ -39,6 +39,9 @@
   engine_cut,
   engine_turn_away,
   engine_drain,
+  engine_age,    // slower and slower, up to `size` times
+  engine_noise,  // a neighbour's work: `size` times slower, on and off
+  engine_taken,  // told as draining, gone and dead two seconds later, back cold at the end
   loads_late,
   list_late,
   list_away,
@@ -47,6 +50,8 @@
   burst,
   flood,
   hot_group,
+  busy_gateway,  // `size` of the arrivals, of `tenant` if one is named, come to the targets
+  heavy,         // a chance of `size` that a query is `factor` times the work and memory
   hang_ups,
   groups_change
 };
@@ -57,6 +62,7 @@
   Time at{}, length{};
   std::vector<unsigned> targets;  // engines or gateways
   double size = 1;                // factor, chance, or as the kind has it
+  double factor = 10;
   std::string tenant;
   std::string plan;  // of groups, that is in force meanwhile
 };
--- a/src/rehearsal/troubles.cpp
+++ b/src/rehearsal/troubles.cpp
@@ -2,11 +2,17 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+#include <pcg_random.hpp>
+
 namespace heronwell::rehearsal {
 namespace {
 
 using namespace std::chrono_literals;
 constexpr Time kDrainToGone = 1500ms;  // from draining to gone in the list
+constexpr Time kNotice = 2s;           // from draining to dead, where capacity is taken away
+constexpr Time kNoise = 300ms;         // how long a noisy neighbour works or rests, drawn anew each time
+constexpr unsigned kAges = 12;         // steps of growing old
 
 }  // namespace
 
@@ -77,6 +83,34 @@
           at(over, [&, i] { actors.mark_engine(i, EngineState::ready); });
         }
         break;
+      case engine_age:
+        for (unsigned step = 1; step <= kAges; ++step)
+          for (const auto i : t.targets)
+            at(begin + t.length * (step - 1) / kAges,
+               [&, i, line = fmt::format("slow {:.3f}", 1 + (t.size - 1) * step / kAges)] {
+                 actors.tell_engine(i, line);
+               });
+        for (const auto i : t.targets) at(over, [&, i] { actors.tell_engine(i, "slow 1"); });
+        break;
+      case engine_noise:
+        for (const auto i : t.targets) {
+          pcg64 random(day.seed, i + 1);
+          for (auto when = begin; when < over; when += kNoise)
+            at(when, [&, i, line = fmt::format("slow {}", random() % 2 == 0 ? t.size : 1)] {
+              actors.tell_engine(i, line);
+            });
+          at(over, [&, i] { actors.tell_engine(i, "slow 1"); });
+        }
+        break;
+      case engine_taken: {
+        const auto dead = begin + std::min(kNotice, t.length / 2);
+        for (const auto i : t.targets) {
+          at(begin, [&, i] { actors.mark_engine(i, EngineState::draining); });
+          at(dead, [&, i] { actors.mark_engine(i, EngineState::gone), actors.kill_engine(i); });
+          at(over, [&, i] { actors.start_engine(i), actors.mark_engine(i, EngineState::ready); });
+        }
+        break;
+      }
       case gateway_stop:
         strike(&Actors::stop_gateway, &Actors::continue_gateway);
         break;
@@ -90,6 +124,8 @@
       case burst:
       case flood:
       case hot_group:
+      case busy_gateway:
+      case heavy:
       case hang_ups:
         break;  // the clients' own
     }
--- a/tests/emulator/emulator_test.cpp
+++ b/tests/emulator/emulator_test.cpp
@@ -238,6 +238,48 @@
   EXPECT_EQ(one.troubles, three.troubles);
 }
 
+// Eight gateways and four engines, past what these can do. Of tenant a's requests 60 percent come to one
+// gateway, of b's none. Returns a's part of the engines' time; it is to have 0.6.
+double share_of_a(bool tell, std::uint64_t seed) {
+  const auto file = folder_of("shares") + ".yaml", folder = folder_of("shares");
+  std::ofstream(file) << "day: {seed: " << seed << ", length: 20s, tail: 3s}\n"
+                      << R"(
+gateways: {count: 8}
+engines: {count: 4, cores: 4, disks: 4, memory: 4GiB}
+router:
+  gateway: {}
+  kinds: {small: {cores: 4, memory: 4GiB}}
+  classes: {lookup: {aim: 600ms, give_up: 2s, worth: 1}}
+  tenants: {a: {share: 0.6}, b: {share: 0.4}}
+  loads: {fields: [inflight, util], in_answers: true, tells_cost: true}
+  engines: {never_began: ["53300"], connections: 64}
+  list: {wait: 20s, timeout: 1s}
+  log: {requests: none}
+)"
+                      << "  allow: {tell: " << (tell ? "true" : "false") << R"(, max_retry_after: 1s}
+groups:
+  usual:
+    groups: {a: {weight: 6}, b: {weight: 4}}
+    selectors: [{tenant: a, group: a}, {tenant: b, group: b}]
+clients:
+  groups: 20
+  tenants: {a: 0.5, b: 0.5}
+  classes: {lookup: {rate: 1000, work_ms: 80}}
+troubles:
+  - {kind: busy_gateway, at: 0s, for: 20s, tenant: a, targets: [0], size: 0.6}
+  - {kind: busy_gateway, at: 0s, for: 20s, tenant: b, targets: [1, 2, 3, 4, 5, 6, 7], size: 1}
+)";
+  (void)play(rehearsal::read_day(file), {}, folder);
+  const auto audit = rehearsal::audit(folder);
+  EXPECT_TRUE(audit.kept()) << rehearsal::report(audit);
+  return audit.tenants[0].engine_s / (audit.tenants[0].engine_s + audit.tenants[1].engine_s);
+}
+
+TEST(GroupShares, HoldWithinFivePercentOverEightGatewaysThatTellAndNotWithoutWord) {
+  EXPECT_NEAR(share_of_a(true, 3), 0.6, 0.05 * 0.6);
+  EXPECT_GT(share_of_a(false, 3), 1.05 * 0.6);  // what the word is worth
+}
+
 TEST(Days, ThatCannotBeEmulatedAreRefused) {
   auto day = rehearsal::read_day(HERONWELL_DAYS "/ci-day.yaml");
   day.relay.repeat = 0.1;
