--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -357,17 +357,19 @@
 }
 
 // ---- emulate -------------------------------------------------------------------------------------------
-int emulate(const std::string& file, const std::string& folder, std::optional<std::uint64_t> seed) {
-  auto day = rehearsal::read_day(file);
-  if (seed) day.seed = *seed;
+int emulate(const rehearsal::Day& day, const std::string& folder, bool fast) {
   const auto begun = std::chrono::steady_clock::now();
-  const auto played = emulator::play(day, {}, folder);
+  const auto played = emulator::play(day, emulator::network_of(day, fast), folder);
   const std::chrono::duration<double> took = std::chrono::steady_clock::now() - begun;
   const auto virtual_s = milliseconds(played.virtual_time) / 1e3;
   std::cout << fmt::format(
       "{}\n{:.1f} s of virtual time in {:.2f} s ({:.1f} times), {} events ({:.0f} a second)\n",
       rehearsal::text_of(played.report), virtual_s, took.count(), virtual_s / took.count(), played.events,
       static_cast<double>(played.events) / took.count());
+  rusage used{};
+  ::getrusage(RUSAGE_SELF, &used);
+  std::cout << fmt::format("{} MB at most, {:.2f} MB a router\n", used.ru_maxrss >> 10,
+                           static_cast<double>(used.ru_maxrss) / 1024 / day.gateways);
   for (const auto& left : played.left) std::cout << left << "\n";
   if (!folder.empty()) std::cout << "records in " << folder << "; heronwell audit " << folder << std::endl;
   return played.left.empty() ? kDone : kFailed;
@@ -382,7 +384,9 @@
                              found.seed, found.what, found.left, found.troubles, found.file);
   std::string kinds;
   for (const auto& [kind, times] : swept.troubles) kinds += fmt::format(" {} {}", kind, times);
-  std::cout << fmt::format("troubles:{}\n", kinds);
+  const auto drawn = swept.troubles.size();
+  std::cout << fmt::format("troubles:{}\n{} of the {} pairs of these kinds were at work together\n", kinds,
+                           swept.pairs.size(), drawn * (drawn + 1) / 2);
   std::cout << fmt::format(
       "{} days, {:.0f} s of virtual time, {} events in {:.1f} s ({:.0f} days a minute); {} cases checked, {} "
       "days broke something\n",
@@ -476,6 +480,11 @@
   emulating->add_option("file", file, "Day file")->required();
   emulating->add_option("--out", folder, "Folder for its records; without: none are kept");
   emulating->add_option("--seed", day_seed, "In place of the day's");
+  bool fast = false;
+  std::string delay, jitter;
+  emulating->add_option("--delay", delay, "Of each message one way, such as 50us, the usual");
+  emulating->add_option("--jitter", jitter, "Up to so much more, drawn for each");
+  emulating->add_flag("--fast", fast, "Messages between processes in place of bytes");
 
   auto* swarming = app.add_subcommand("swarm", "Play and audit days of troubles drawn at random");
   emulator::SwarmPlan swarm_plan;
@@ -485,6 +494,7 @@
   swarming->add_option("--days", swarm_plan.days)->capture_default_str();
   swarming->add_option("--seed", swarm_plan.seed, "Of the first day")->capture_default_str();
   swarming->add_option("--threads", swarm_plan.threads);
+  swarming->add_flag("--fast", swarm_plan.fast, "Messages between processes in place of bytes");
 
   auto* auditing = app.add_subcommand("audit", "Prove the seven rules from a day's records");
   auditing->add_option("folder", folder, "Folder of a day's records")->required();
@@ -571,7 +581,13 @@
     if (*list) return run_list(file, list_port, record);
     if (*load) return run_load(file, ports, start, record);
     if (*day_run) return run_day(file, folder);
-    if (*emulating) return emulate(file, folder, day_seed);
+    if (*emulating) {
+      auto day = rehearsal::read_day(file);
+      if (!delay.empty()) day.wires.delay = duration("delay", delay);
+      if (!jitter.empty()) day.wires.jitter = duration("jitter", jitter);
+      if (day_seed) day.seed = *day_seed;
+      return emulate(day, folder, fast);
+    }
     if (*swarming) return run_swarm(swarm_plan);
     if (*auditing) return audit_day(folder);
     bounds.fair = !no_fair;
--- a/src/emulator/clients.cpp
+++ b/src/emulator/clients.cpp
@@ -59,9 +59,7 @@
     if (ask_ == nullptr) {
       clients_.drop(*this);
     } else if (!up_) {
-      ++clients_.report_.unconnected;
-      const auto& cls = clients_.day_.settings.classes[ask_->cls];
-      each("unconnected", fmt::format(R"("gw":"gw-{}","cls":"{}")", gateway_, cls.name));
+      for (const auto& id : talk_.ids) clients_.unconnected(*ask_, id);
       finished();
     } else {
       return broken();
@@ -121,10 +119,7 @@
     }
     const auto heard =
         rehearsal::hear(clients_.day_, *ask_, talk_.ids.size(), parser_.status(), std::exchange(body_, {}));
-    rehearsal::count(heard, clients_.report_);
-    for (std::size_t i = 0; i < talk_.ids.size(); ++i)
-      clients_.write("answer", talk_.ids[i],
-                     rehearsal::answer_record(heard.statements[i], now() - sent_, bytes_));
+    clients_.answered(*ask_, retry_, talk_, heard, now() - sent_, bytes_);
     if (!in_.empty()) each("extra");
     const auto& cls = clients_.day_.settings.classes[ask_->cls];
     const bool clean = in_.empty() && parser_.keep_alive();
@@ -135,13 +130,6 @@
       limit(rehearsal::kPatience);
       return put();
     }
-    if (heard.again && retry_ < clients_.day_.retries) {
-      ++clients_.open_;
-      clients_.process_.at(now() + heard.pause, [&clients = clients_, ask = ask_, retry = retry_ + 1] {
-        --clients.open_;
-        clients.send(*ask, retry);
-      });
-    }
     if (clean) return rest();
     finished();
     close();
@@ -184,11 +172,66 @@
   http::Parser parser_{http::Role::response, {8 << 10, 32 << 10, 100, 1ULL << 40}};
 };
 
-Clients::Clients(Network& network, const rehearsal::Day& day, std::vector<std::uint16_t> ports, Time start,
-                 rehearsal::Recorder& recorder)
+// A request and its answer as messages.
+class Clients::Call final : public Caller, public std::enable_shared_from_this<Call> {
+ public:
+  Call(Clients& clients, const rehearsal::Ask& ask, unsigned retry)
+      : clients_(clients), ask_(ask), retry_(retry), talk_(rehearsal::talk_of(clients.day_, ask, retry)) {}
+
+  void begin() {
+    auto& gateway = *clients_.gateways_[ask_.gateway];
+    const auto& id = talk_.ids.front();
+    if (!gateway.process().alive()) {
+      clients_.unconnected(ask_, id);
+      return end();
+    }
+    ++clients_.report_.sent;
+    clients_.write("sent", id, talk_.record);
+    sent_ = now();
+    gateway.ask(shared_from_this(), talk_.body, talk_.timeout);
+    clients_.process_.at(now() + talk_.longest, [self = shared_from_this()] { self->too_long(); });
+  }
+  void answered(int status, const std::string& outcome, Time pause) override {
+    if (over_) return;
+    clients_.answered(ask_, retry_, talk_, rehearsal::heard_of(clients_.day_, ask_, status, outcome, pause),
+                      now() - sent_, 0);
+    end();
+  }
+  void broken() override {
+    if (over_) return;
+    ++clients_.report_.broken;
+    clients_.write("broken", talk_.ids.front(), R"("head":false,"bytes":0)");
+    end();
+  }
+
+ private:
+  Time now() const { return clients_.network_.loop().now(); }
+  void too_long() {
+    if (over_) return;
+    ++(talk_.hangs_up ? clients_.report_.hung_up : clients_.report_.broken);
+    clients_.write(talk_.hangs_up ? "hung_up" : "gave_up", talk_.ids.front());
+    clients_.gateways_[ask_.gateway]->leave(shared_from_this());
+    end();
+  }
+  void end() {
+    over_ = true;
+    --clients_.open_;
+  }
+
+  Clients& clients_;
+  const rehearsal::Ask& ask_;
+  unsigned retry_;
+  rehearsal::Talk talk_;
+  Time sent_{};
+  bool over_ = false;
+};
+
+Clients::Clients(Network& network, const rehearsal::Day& day, std::vector<std::uint16_t> ports,
+                 std::vector<std::unique_ptr<Gateway>>& gateways, Time start, rehearsal::Recorder& recorder)
     : network_(network),
       day_(day),
       ports_(std::move(ports)),
+      gateways_(gateways),
       start_(start),
       recorder_(recorder),
       process_(network.loop()),
@@ -209,6 +252,7 @@
 
 void Clients::send(const rehearsal::Ask& ask, unsigned retry) {
   ++open_;
+  if (network_.settings().messages) return std::make_shared<Call>(*this, ask, retry)->begin();
   auto& idle = idle_[ask.gateway];
   Ptr connection;
   if (idle.empty()) {
@@ -220,6 +264,25 @@
   connection->ask(ask, retry);
 }
 
+void Clients::unconnected(const rehearsal::Ask& ask, const std::string& id) {
+  ++report_.unconnected;
+  write("unconnected", id,
+        fmt::format(R"("gw":"gw-{}","cls":"{}")", ask.gateway, day_.settings.classes[ask.cls].name));
+}
+
+void Clients::answered(const rehearsal::Ask& ask, unsigned retry, const rehearsal::Talk& talk,
+                       const rehearsal::Heard& heard, Time took, std::uint64_t bytes) {
+  rehearsal::count(heard, report_);
+  for (std::size_t i = 0; i < talk.ids.size(); ++i)
+    write("answer", talk.ids[i], rehearsal::answer_record(heard.statements[i], took, bytes));
+  if (!heard.again || retry >= day_.retries) return;
+  ++open_;
+  process_.at(network_.loop().now() + heard.pause, [this, &ask, retry] {
+    --open_;
+    send(ask, retry + 1);
+  });
+}
+
 void Clients::drop(const Connection& connection) {
   for (auto& idle : idle_)
     std::erase_if(idle, [&connection](const Ptr& one) { return one.get() == &connection; });
--- a/src/emulator/clients.hpp
+++ b/src/emulator/clients.hpp
@@ -5,7 +5,7 @@
 #include <memory>
 #include <vector>
 
-#include "emulator/network.hpp"
+#include "emulator/gateway.hpp"
 #include "http/message.hpp"
 #include "rehearsal/record.hpp"
 #include "rehearsal/talk.hpp"
@@ -15,8 +15,8 @@
 class Clients {
  public:
   // `ports`: by gateway. Arrivals are counted from `start`.
-  Clients(Network& network, const rehearsal::Day& day, std::vector<std::uint16_t> ports, Time start,
-          rehearsal::Recorder& recorder);
+  Clients(Network& network, const rehearsal::Day& day, std::vector<std::uint16_t> ports,
+          std::vector<std::unique_ptr<Gateway>>& gateways, Time start, rehearsal::Recorder& recorder);
   ~Clients();
   void begin();
   [[nodiscard]] bool done() const { return at_ == asks_.size() && open_ == 0; }
@@ -24,15 +24,21 @@
 
  private:
   class Connection;
+  class Call;
   using Ptr = std::shared_ptr<Connection>;
   void next();
   void send(const rehearsal::Ask& ask, unsigned retry);
   void write(std::string_view event, const std::string& id, const std::string& more = "");
   void drop(const Connection& connection);
+  void unconnected(const rehearsal::Ask& ask, const std::string& id);
+  // What came of a request, and its next try if there is one.
+  void answered(const rehearsal::Ask& ask, unsigned retry, const rehearsal::Talk& talk,
+                const rehearsal::Heard& heard, Time took, std::uint64_t bytes);
 
   Network& network_;
   const rehearsal::Day& day_;
   std::vector<std::uint16_t> ports_;
+  std::vector<std::unique_ptr<Gateway>>& gateways_;
   Time start_;
   rehearsal::Recorder& recorder_;
   Process process_;
--- a/src/emulator/engine.hpp
+++ b/src/emulator/engine.hpp
@@ -21,6 +21,7 @@
   void end();  // by itself, at the end of the day: its record is whole
   Process& process() { return process_; }
   std::string command(const std::string& line) { return core_ ? core_->command(line) : ""; }
+  rehearsal::EngineCore* core() { return core_.get(); }  // null: dead
   [[nodiscard]] std::uint16_t port() const { return options_.port; }
   [[nodiscard]] bool tipped() const { return tipped_; }
 
--- a/src/emulator/gateway.cpp
+++ b/src/emulator/gateway.cpp
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "emulator/carrier.hpp"
 #include "emulator/list.hpp"
 
 namespace heronwell::emulator {
@@ -14,7 +15,21 @@
 
 class Gateway::ShardWorld final : public path::World {
  public:
-  ShardWorld(Gateway& gateway, std::uint64_t seed) : gateway_(gateway), random_(seed) {}
+  ShardWorld(Gateway& gateway, std::uint64_t seed) : gateway_(gateway), random_(seed) {
+    if (gateway.around_.network.settings().messages)
+      carrier_ = std::make_unique<Carrier>(gateway.around_.network, gateway.process_, gateway.config_,
+                                           gateway.around_.engine);
+  }
+  void serve(path::Shard& shard) {
+    if (carrier_) carrier_->serve(shard);
+  }
+  bool carry(const path::AttemptPtr& attempt) override {
+    if (carrier_) carrier_->carry(attempt);
+    return carrier_ != nullptr;
+  }
+  void call_off(const path::AttemptPtr& attempt) override {
+    if (carrier_) carrier_->call_off(attempt);
+  }
   Time now() override { return gateway_.process_.loop().now(); }
   std::uint64_t drawn() override { return random_(); }
   void draw(std::span<unsigned char> bytes) override {
@@ -33,6 +48,7 @@
   class EmulatedTimer;
   Gateway& gateway_;
   pcg64 random_;
+  std::unique_ptr<Carrier> carrier_;  // null: by connections
 };
 
 struct Gateway::ShardWorld::Moment {
@@ -96,6 +112,7 @@
       worlds.push_back(std::make_unique<ShardWorld>(of, of.config_.seed.value_or(1) * 64 + i));
       shards.push_back(std::make_unique<path::Shard>(*worlds[i], of.config_, metrics, front, tracer, i,
                                                      of.config_.threads));
+      worlds[i]->serve(*shards[i]);
       if (graphql) shards[i]->serve(*graphql);
     }
   }
@@ -140,7 +157,63 @@
   std::vector<std::vector<path::Order>> orders;  // by shard
   std::vector<std::unique_ptr<ShardWorld>> worlds;
   std::vector<std::unique_ptr<path::Shard>> shards;
-  std::size_t clients = 0;  // so far, dealt out in turn
+  std::size_t clients = 0;                                // so far, dealt out in turn
+  std::map<std::uint64_t, std::shared_ptr<Asked>> asked;  // by messages, not answered
+};
+
+// A request that came as a message, until its answer goes out as one.
+class Gateway::Asked final : public path::Asker, public std::enable_shared_from_this<Asked> {
+ public:
+  Asked(Gateway& gateway, std::uint64_t number, std::shared_ptr<Caller> caller)
+      : gateway_(gateway), number_(number), caller_(std::move(caller)) {}
+  void served(const path::ExchangePtr&, path::Content content) override {
+    reply(content.sqlstate.empty() ? 200 : 422, "served", Time::zero());
+  }
+  void unserved(const path::ExchangePtr&, const router::Problem& problem) override {
+    reply(problem.status, problem.outcome, problem.pause / 1ms * 1ms);
+  }
+  void abandoned() override {}
+
+  void begin(path::Shard& shard, const std::string& body, const std::string& timeout) {
+    auto read =
+        shard.front().read(body, timeout.empty() ? std::nullopt : std::optional<std::string_view>(timeout));
+    if (const auto* wrong = std::get_if<router::Problem>(&read))
+      return reply(wrong->status, wrong->outcome, Time::zero());
+    auto& query = std::get<router::Query>(read);
+    shard_ = &shard;
+    exchange_ = std::make_shared<path::Exchange>();
+    exchange_->began = shard.unread_since();
+    exchange_->asker = shared_from_this();
+    exchange_->statement = std::make_shared<const sql::Statement>(sql::Statement{std::move(query.statement)});
+    shard.take(exchange_, std::move(query.ask));
+  }
+  void leave() {
+    shard_->left(exchange_);
+    end();
+  }
+  void broken() {
+    network().loop().after(network().way(), [caller = caller_] { caller->broken(); });
+  }
+
+ private:
+  Network& network() { return gateway_.around_.network; }
+  void reply(int status, const std::string& outcome, Time pause) {
+    network().loop().after(network().way(), [caller = caller_, status, outcome, pause] {
+      caller->answered(status, outcome, pause);
+    });
+    end();
+  }
+  void end() {
+    if (exchange_) exchange_->asker = nullptr;
+    const auto kept = shared_from_this();
+    gateway_.life_->asked.erase(number_);
+  }
+
+  Gateway& gateway_;
+  std::uint64_t number_;
+  std::shared_ptr<Caller> caller_;
+  path::Shard* shard_ = nullptr;
+  path::ExchangePtr exchange_;
 };
 
 void Gateway::ShardWorld::tell(path::Told what) { gateway_.life_->tell(std::move(what)); }
@@ -200,10 +273,37 @@
   if (!life_) return;
   process_.die();
   around_.network.close(port_);
+  for (const auto& [number, asked] : life_->asked) asked->broken();
   life_->shards.clear();
   life_.reset();
 }
 
+void Gateway::ask(const std::shared_ptr<Caller>& caller, const std::string& body,
+                  const std::string& timeout) {
+  caller->number_ = ++asked_;
+  around_.network.message(
+      process_,
+      [this, caller, body, timeout] {
+        auto& life = *life_;
+        const auto asked = std::make_shared<Asked>(*this, caller->number_, caller);
+        life.asked.emplace(caller->number_, asked);
+        asked->begin(*life.shards[life.clients++ % life.shards.size()], body, timeout);
+      },
+      [this, caller] {
+        around_.network.loop().after(around_.network.way(), [caller] { caller->broken(); });
+      });
+}
+
+void Gateway::leave(const std::shared_ptr<Caller>& caller) {
+  around_.network.message(
+      process_,
+      [this, caller] {
+        const auto found = life_->asked.find(caller->number_);
+        if (found != life_->asked.end()) std::shared_ptr(found->second)->leave();
+      },
+      nullptr);
+}
+
 void Gateway::listed(path::Listed listed) { life_->tell({process_.loop().now(), std::move(listed)}); }
 
 void Gateway::reload_groups(const std::string& text) {
--- a/src/emulator/gateway.hpp
+++ b/src/emulator/gateway.hpp
@@ -12,15 +12,30 @@
 
 namespace heronwell::emulator {
 
+class Carrier;
+class Engine;
 class ListServer;
 
+// A client's request that came as a message: gets one of these calls, unless it left before.
+class Caller {
+ public:
+  virtual ~Caller() = default;
+  virtual void answered(int status, const std::string& outcome, Time pause) = 0;
+  virtual void broken() = 0;  // the router died
+
+ private:
+  friend class Gateway;
+  std::uint64_t number_ = 0;  // at its router
+};
+
 class Gateway {
  public:
   struct Surroundings {
     Network& network;
     ListServer& list;
-    std::vector<std::unique_ptr<Gateway>>& all;  // by number, for datagrams between them
-    Time unix_offset{};                          // Unix time less the loop's
+    std::vector<std::unique_ptr<Gateway>>& all;         // by number, for datagrams between them
+    Time unix_offset{};                                 // Unix time less the loop's
+    std::function<Engine*(std::uint16_t port)> engine;  // for messages in place of connections
   };
   // Throws what config::read_config() and the machines throw. `schema`: null: no GraphQL.
   Gateway(Surroundings around, config::Config config, std::shared_ptr<const graphql::Bound> schema,
@@ -32,6 +47,9 @@
   Process& process() { return process_; }
   [[nodiscard]] std::uint32_t number() const { return config_.module.me; }
   [[nodiscard]] const config::Config& config() const { return config_; }
+  // A request as a message, in the fast fidelity: the JSON body of /v1/query and its time-out, if any.
+  void ask(const std::shared_ptr<Caller>& caller, const std::string& body, const std::string& timeout);
+  void leave(const std::shared_ptr<Caller>& caller);
   // Calls `then` with each first ready list of a life.
   void on_ready(std::function<void()> then) { ready_ = std::move(then); }
   void reload_groups(const std::string& text);
@@ -42,6 +60,7 @@
  private:
   class ShardWorld;
   class Strands;
+  class Asked;
   struct Life;
   Surroundings around_;
   config::Config config_;
@@ -49,6 +68,7 @@
   std::uint16_t port_;
   Process process_;
   std::function<void()> ready_;
+  std::uint64_t asked_ = 0;
   std::unique_ptr<Life> life_;
 };
 
--- a/src/emulator/loop.cpp
+++ b/src/emulator/loop.cpp
@@ -5,25 +5,40 @@
 
 namespace heronwell::emulator {
 
-void Loop::at(Time when, std::function<void()> what) {
+void Loop::at(Time when, std::function<void()> what, Process* process) {
   if (over_) return;
-  events_.push_back({std::max(when, now_), ++numbers_, std::move(what)});
-  std::push_heap(events_.begin(), events_.end(), later);
+  if (free_.empty()) {
+    free_.push_back(events_.size());
+    events_.emplace_back();
+  }
+  const auto place = free_.back();
+  free_.pop_back();
+  events_[place] = {std::move(what), process, process != nullptr ? process->life() : 0};
+  due_.push_back({std::max(when, now_), ++numbers_, place});
+  std::push_heap(due_.begin(), due_.end(), later);
 }
 
 bool Loop::step() {
-  if (events_.empty()) return false;
-  std::pop_heap(events_.begin(), events_.end(), later);
-  auto event = std::move(events_.back());
-  events_.pop_back();
-  now_ = event.when;
+  if (due_.empty()) return false;
+  std::pop_heap(due_.begin(), due_.end(), later);
+  const auto due = due_.back();
+  due_.pop_back();
+  auto event = std::move(events_[due.event]);
+  events_[due.event].what = nullptr;
+  free_.push_back(due.event);
+  now_ = due.when;
   ++taken_;
-  event.what();
+  if (event.process == nullptr)
+    event.what();
+  else if (event.process->life() == event.life)
+    event.process->run(std::move(event.what));
   return true;
 }
 
 void Loop::end() {
   over_ = true;
+  due_.clear();
+  free_.clear();
   const auto dropped = std::exchange(events_, {});
 }
 
@@ -33,11 +48,7 @@
   what();
 }
 
-void Process::at(Time when, std::function<void()> what) {
-  loop_.at(when, [this, life = life_, what = std::move(what)]() mutable {
-    if (life == life_) run(std::move(what));
-  });
-}
+void Process::at(Time when, std::function<void()> what) { loop_.at(when, std::move(what), this); }
 
 // What was held comes first, whatever comes meanwhile after it.
 void Process::go_on() {
--- a/src/emulator/loop.hpp
+++ b/src/emulator/loop.hpp
@@ -10,29 +10,39 @@
 
 namespace heronwell::emulator {
 
+class Process;
+
 class Loop {
  public:
   explicit Loop(Time start) : now_(start) {}
   [[nodiscard]] Time now() const { return now_; }
-  void at(Time when, std::function<void()> what);  // a moment that has passed: now
+  // A moment that has passed: now. `process`: whose business it is, if this life of it lasts until then.
+  void at(Time when, std::function<void()> what, Process* process = nullptr);
   void after(Time pause, std::function<void()> what) { at(now_ + pause, std::move(what)); }
   bool step();  // false: nothing is left
   void end();   // drops what is left; nothing is taken on any more
   [[nodiscard]] std::uint64_t events() const { return taken_; }
 
  private:
-  struct Event {
+  struct Due {
     Time when{};
     std::uint64_t number = 0;
+    std::size_t event = 0;
+  };
+  struct Event {
     std::function<void()> what;
+    Process* process = nullptr;
+    std::uint64_t life = 0;
   };
-  static bool later(const Event& a, const Event& b) {
+  static bool later(const Due& a, const Due& b) {
     return a.when != b.when ? a.when > b.when : a.number > b.number;
   }
   Time now_;
   std::uint64_t numbers_ = 0, taken_ = 0;
   bool over_ = false;
-  std::vector<Event> events_;  // a heap, the next one on top
+  std::vector<Due> due_;       // a heap, the next one on top
+  std::vector<Event> events_;  // places are used again
+  std::vector<std::size_t> free_;
 };
 
 // What may be stopped, go on, die and begin anew: a router, an engine. What happens to it while it is stopped
--- a/src/emulator/network.cpp
+++ b/src/emulator/network.cpp
@@ -55,6 +55,28 @@
   if (!chance(settings_.lost)) to.at(loop_.now() + way(), std::move(what));
 }
 
+namespace {
+// Of a message that has reached a process: does `lost` if it goes before it was read.
+struct Letter {
+  std::function<void()> arrived, lost;
+  Letter(std::function<void()> a, std::function<void()> l) : arrived(std::move(a)), lost(std::move(l)) {}
+  Letter(const Letter&) = delete;
+  ~Letter() {
+    if (lost) lost();
+  }
+};
+}  // namespace
+
+void Network::message(Process& to, std::function<void()> arrived, std::function<void()> lost) {
+  loop_.after(way(), [&to, letter = std::make_shared<Letter>(std::move(arrived), std::move(lost))] {
+    if (!to.alive()) return;
+    to.run([letter] {
+      letter->lost = nullptr;
+      letter->arrived();
+    });
+  });
+}
+
 Time End::arrival() {
   last_ = std::max(last_, network_.loop().now() + network_.way());
   return last_;
--- a/src/emulator/network.hpp
+++ b/src/emulator/network.hpp
@@ -20,6 +20,9 @@
   std::size_t window = 256 << 10;              // bytes under way or unread, each way
   double refused = 0;                          // chance that a dial fails
   double lost = 0;                             // chance that a datagram is lost
+  // The fast fidelity: requests and statements are messages, no bytes of HTTP or of the engines' protocol and
+  // no connections. Each takes one delay; none is lost but with a process that dies.
+  bool messages = false;
 };
 
 class End;
@@ -36,6 +39,9 @@
   void listen(std::uint16_t port, Process& process, Accept accept);
   void close(std::uint16_t port) { listeners_.erase(port); }
   EndPtr dial(Process& from, std::uint16_t port);
+  // A message: `arrived` happens at the other process; `lost`, anywhere, if that was dead by then or dies
+  // stopped, before it has read it.
+  void message(Process& to, std::function<void()> arrived, std::function<void()> lost);
   // A datagram: `what` happens at the other process, or never.
   void datagram(Process& to, std::function<void()> what);
 
--- a/src/emulator/play.cpp
+++ b/src/emulator/play.cpp
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <filesystem>
 
 #include "base/yaml.hpp"
@@ -48,7 +49,7 @@
     for (auto& [at, step] : rehearsal::schedule(day_, *this)) loop_.at(start + at, step);
     std::vector<std::uint16_t> ports;
     for (unsigned i = 0; i < day_.gateways; ++i) ports.push_back(port_of(i));
-    Clients clients(network_, day_, ports, start, client_recorder_);
+    Clients clients(network_, day_, ports, gateways_, start, client_recorder_);
     clients.begin();
     const auto longest = start + day_.length + kLongestEnd;
     while (!(clients.done() && loop_.now() >= start + day_.length) && loop_.now() < longest && loop_.step()) {
@@ -126,9 +127,10 @@
     auto config = config::read_config(yaml::Section::text(YAML::Dump(yaml), fmt::format("gw-{}", i)));
     if (config.graphql.served() && !schema_)
       schema_ = path::bind_schema(config, config.graphql.sdl, "graphql.sdl");
-    gateways_.push_back(
-        std::make_unique<Gateway>(Gateway::Surroundings{network_, list_, gateways_, kUnixOffset},
-                                  std::move(config), schema_, port_of(i)));
+    gateways_.push_back(std::make_unique<Gateway>(
+        Gateway::Surroundings{network_, list_, gateways_, kUnixOffset,
+                              [this](std::uint16_t port) { return engines_[port - kEnginePorts].get(); }},
+        std::move(config), schema_, port_of(i)));
     record("gateway_started", "gw", i);
     gateways_[i]->begin();
   }
@@ -203,9 +205,22 @@
 
 }  // namespace
 
+NetworkSettings network_of(const rehearsal::Day& day, bool messages) {
+  NetworkSettings network;
+  network.delay = day.wires.delay;
+  network.jitter = day.wires.jitter;
+  network.refused = day.wires.refused;
+  network.lost = day.wires.lost;
+  network.messages = messages;
+  return network;
+}
+
 Played play(const rehearsal::Day& day, const NetworkSettings& network, const std::string& folder) {
   if (day.relay.repeat > 0 || day.relay.claim > 0)
     throw yaml::Error(day.file + ":1:1: engines.relay_repeat, engines.relay_claim: relays are not emulated");
+  if (network.messages && std::ranges::any_of(day.loads, [](const auto& load) { return load.fields > 0; }))
+    throw yaml::Error(day.file +
+                      ":1:1: clients.classes: graphql_fields need the bytes, and the fast fidelity has none");
   if (!folder.empty()) {
     std::filesystem::create_directories(folder);
     for (const auto& old : std::filesystem::directory_iterator(folder))
--- a/src/emulator/play.hpp
+++ b/src/emulator/play.hpp
@@ -19,6 +19,7 @@
   std::vector<std::string> left;  // what routers still had long after the last request; none is right
 };
 
+NetworkSettings network_of(const rehearsal::Day& day, bool messages = false);
 // `folder`: gets the records, and a copy of the day; empty: nothing is kept. Throws yaml::Error for a wrong
 // configuration of the routers.
 Played play(const rehearsal::Day& day, const NetworkSettings& network, const std::string& folder);
--- a/src/emulator/swarm.cpp
+++ b/src/emulator/swarm.cpp
@@ -82,6 +82,11 @@
   return trouble;
 }
 
+std::pair<Time, Time> span_of(const YAML::Node& trouble) {
+  const auto at = yaml::parse_duration(trouble["at"].as<std::string>()).value_or(Time::zero());
+  return {at, at + yaml::parse_duration(trouble["for"].as<std::string>()).value_or(Time::zero())};
+}
+
 // What is stopped or dead can't be stopped or killed: records of it would contradict each other.
 bool strikes_twice(const YAML::Node& troubles, const YAML::Node& one) {
   const auto strikes = [](const YAML::Node& trouble) {
@@ -89,14 +94,10 @@
     return kind.ends_with("_kill") || kind.ends_with("_stop") || kind == "engine_hang" ||
            kind == "engine_taken";
   };
-  const auto span = [](const YAML::Node& trouble) {
-    const auto at = yaml::parse_duration(trouble["at"].as<std::string>()).value_or(Time::zero());
-    return std::pair(at, at + yaml::parse_duration(trouble["for"].as<std::string>()).value_or(Time::zero()));
-  };
   if (!strikes(one)) return false;
-  const auto [from, to] = span(one);
+  const auto [from, to] = span_of(one);
   return std::ranges::any_of(troubles, [&, begin = from, end = to](const YAML::Node& other) {
-    const auto [other_from, other_to] = span(other);
+    const auto [other_from, other_to] = span_of(other);
     const bool same_side =
         one["kind"].as<std::string>().starts_with("g") == other["kind"].as<std::string>().starts_with("g");
     return strikes(other) && same_side && begin <= other_to && other_from <= end;
@@ -111,6 +112,16 @@
   day["gateways"]["count"] = gateways;
   day["gateways"]["threads"] = dice.whole(1, 2);
   day["engines"]["count"] = engines;
+  day["engines"]["cores"] = dice.whole(2, 8);
+  day["engines"]["sessions"] = dice.whole(8, 64);
+  auto router = day["router"];
+  router["allow"]["tell"] = dice.whole(0, 1) == 1;
+  router["engines"]["connections"] = dice.whole(4, 64);
+  router["rules"]["max_attempts"] = dice.whole(2, 5);
+  auto network = day["network"];
+  network["delay"] = fmt::format("{}us", dice.whole(20, 2000));
+  network["jitter"] = fmt::format("{}us", dice.whole(0, 3) == 0 ? dice.whole(100, 5000) : 0);
+  network["lost"] = dice.whole(0, 3) == 0 ? 0.2 : 0.0;
   day["troubles"] = YAML::Node(YAML::NodeType::Sequence);
   for (unsigned left = dice.whole(1, 8); left > 0; --left) {
     const auto trouble = draw_trouble(dice, gateways, engines, length_ms);
@@ -125,12 +136,12 @@
   std::uint64_t cases = 0;
 };
 
-Tried try_day(const YAML::Node& yaml, const std::string& file) {
+Tried try_day(const YAML::Node& yaml, const std::string& file, bool fast) {
   std::ofstream(file) << YAML::Dump(yaml) << "\n";
   const auto records = file + ".records";
   const auto day = rehearsal::read_day(file);
   Tried tried;
-  tried.played = play(day, {}, records);
+  tried.played = play(day, network_of(day, fast), records);
   const auto audit = rehearsal::audit(records);
   std::filesystem::remove_all(records);
   tried.cases = audit.checked();
@@ -146,13 +157,24 @@
   return tried;
 }
 
+void note_pairs(const YAML::Node& troubles, Swept& swept) {
+  for (std::size_t i = 0; i < troubles.size(); ++i)
+    for (std::size_t j = 0; j < i; ++j) {
+      const auto a = span_of(troubles[i]), b = span_of(troubles[j]);
+      if (a.first > b.second || b.first > a.second) continue;
+      auto x = troubles[i]["kind"].as<std::string>(), y = troubles[j]["kind"].as<std::string>();
+      if (y < x) std::swap(x, y);
+      swept.pairs.emplace(std::move(x), std::move(y));
+    }
+}
+
 // Leaves out one trouble after the other, as long as something still breaks.
-YAML::Node smaller(const YAML::Node& day, const std::string& file) {
+YAML::Node smaller(const YAML::Node& day, const std::string& file, bool fast) {
   auto smallest = YAML::Clone(day);
   for (std::size_t i = smallest["troubles"].size(); i-- > 0;) {
     auto less = YAML::Clone(smallest);
     less["troubles"].remove(i);
-    if (!try_day(less, file).broken.empty()) smallest = less;
+    if (!try_day(less, file, fast).broken.empty()) smallest = less;
   }
   return smallest;
 }
@@ -174,11 +196,11 @@
         const auto seed = plan.seed + i;
         const auto file = fmt::format("{}/day-{}.yaml", plan.folder, seed);
         const auto day = draw_day(base, seed, length_ms);
-        const auto tried = try_day(day, file);
+        const auto tried = try_day(day, file, plan.fast);
         std::optional<Finding> finding;
         if (!tried.broken.empty()) {
-          const auto small = smaller(day, file);
-          finding = Finding{seed, try_day(small, file).broken, file, day["troubles"].size(),
+          const auto small = smaller(day, file, plan.fast);
+          finding = Finding{seed, try_day(small, file, plan.fast).broken, file, day["troubles"].size(),
                             small["troubles"].size()};
         } else {
           std::filesystem::remove(file);
@@ -189,6 +211,7 @@
         swept.events += tried.played.events;
         swept.virtual_time += tried.played.virtual_time;
         for (const auto& trouble : day["troubles"]) ++swept.troubles[trouble["kind"].as<std::string>()];
+        note_pairs(day["troubles"], swept);
         if (finding) swept.findings.push_back(*finding);
       }
     } catch (...) {
--- a/src/emulator/swarm.hpp
+++ b/src/emulator/swarm.hpp
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -16,6 +17,7 @@
   std::string folder;  // for the days that break something
   std::uint64_t seed = 1;
   unsigned days = 100, threads = 1;
+  bool fast = false;  // messages in place of bytes
 };
 
 struct Finding {
@@ -27,8 +29,9 @@
 struct Swept {
   std::uint64_t days = 0, cases = 0, events = 0;
   Time virtual_time{};
-  std::map<std::string, std::uint64_t> troubles;  // by kind
-  std::vector<Finding> findings;                  // by seed
+  std::map<std::string, std::uint64_t> troubles;        // by kind
+  std::set<std::pair<std::string, std::string>> pairs;  // of kinds that were at work together
+  std::vector<Finding> findings;                        // by seed
 };
 
 // The same plan finds the same, on any number of threads. Throws yaml::Error for a wrong base.
--- a/src/path/shard.cpp
+++ b/src/path/shard.cpp
@@ -282,7 +282,8 @@
     const auto late = weak.lock();
     if (!late || late->state == Try::ended) return;
     end_attempt(late, sql::Seen::until_passed);
-    if (auto connection = late->connection.lock()) connection->stop(late);
+    if (auto connection = late->connection.lock()) return connection->stop(late);
+    world_.call_off(late);
   });
   attempt->limit->set(attempt->until);
 }
@@ -296,6 +297,7 @@
   // away between the choice and now.
   if (pool == nullptr || !pool->fit || attempt->until <= attempt->started)
     return end_attempt(attempt, sql::Seen::not_written);
+  if (world_.carry(attempt)) return;
   while (!pool->idle.empty()) {
     const auto connection = pool->idle.back();
     pool->idle.pop_back();
@@ -314,7 +316,8 @@
   if (found == attempts_.end()) return;
   const auto attempt = found->second;
   if (!step(attempt->state, TryEvent::stop)) return;
-  if (auto connection = attempt->connection.lock()) connection->stop(attempt);
+  if (auto connection = attempt->connection.lock()) return connection->stop(attempt);
+  world_.call_off(attempt);
 }
 
 void Shard::request_cancel(const config::Address& address, std::uint32_t process, std::uint32_t secret) {
--- a/src/path/world.hpp
+++ b/src/path/world.hpp
@@ -17,6 +17,7 @@
 namespace heronwell::path {
 
 struct Told;
+struct Attempt;
 
 // Who is told of what happens on a wire. All calls come on the shard's own thread, one at a time, never from
 // within a call to the wire, and none after close().
@@ -69,6 +70,11 @@
   virtual TimerPtr timer(std::function<void()> then) = 0;
   virtual void defer(std::function<void()> then) = 0;  // calls it soon, after the call that is running
   virtual void tell(Told what) = 0;                    // to the decision strand, in order
+  // Takes an attempt as a message, without a connection and its bytes; false: it goes by connection. Who
+  // takes it calls Shard::end_attempt() in the end, also after call_off(). Only the emulator's fast fidelity
+  // does.
+  virtual bool carry(const std::shared_ptr<Attempt>&) { return false; }
+  virtual void call_off(const std::shared_ptr<Attempt>&) {}
   virtual void log(Level level, std::string line) = 0;
 };
 
--- a/src/rehearsal/engine_core.cpp
+++ b/src/rehearsal/engine_core.cpp
@@ -168,6 +168,10 @@
   return plan.column.name + " " + number;
 }
 
+std::string cost_of(const EngineCore::Request& request) {
+  return fmt::format("work_ms={:.3f} memory_mb={:.1f}", request.job.work * 1e3, request.job.memory_mb);
+}
+
 // Appends the next row.
 void row(EngineCore::Session& c, const std::string& filler, std::string& out) {
   const auto& request = c.request;
@@ -187,7 +191,8 @@
       options_(std::move(options)),
       recorder_(recorder),
       model_(options_.traits, world.now(), options_.warm),
-      random_(options_.seed) {}
+      random_(options_.seed),
+      secrets_(options_.seed, 1) {}
 EngineCore::~EngineCore() = default;
 
 void EngineCore::listening(std::uint16_t port) {
@@ -291,7 +296,7 @@
   for (const auto& [name, value] : startup.parameters)
     if (name == "application_name") c->gateway = value;
   c->process = ++processes_;
-  c->secret = static_cast<std::uint32_t>(random_());
+  c->secret = static_cast<std::uint32_t>(secrets_());
   std::string out;
   if (sessions_.size() > options_.traits.sessions + 8) {
     sql::put_error(out, {"FATAL", "53300", "too many connections"});
@@ -311,18 +316,42 @@
 void EngineCore::cancel(const SessionPtr& c, const sql::Startup& startup) {
   for (const auto& [number, other] : sessions_) {
     if (other->process != startup.process || other->secret != startup.secret || other->process == 0) continue;
-    record("cancel", *other, other->busy ? other->request.id : "-");
-    if (other->busy && other->job != 0) {
-      model_.remove(world_.now(), other->job);
-      jobs_.erase(other->job);
-      fail(other, "57014", "canceling statement due to user request");
-      arm();
-    }
+    cancel(SessionPtr(other));
     break;
   }
   close(c, false);
 }
 
+void EngineCore::cancel(const SessionPtr& c) {
+  if (c->closed) return;
+  record("cancel", *c, c->busy ? c->request.id : "-");
+  if (!c->busy || c->job == 0) return;
+  model_.remove(world_.now(), c->job);
+  jobs_.erase(c->job);
+  fail(c, "57014", "canceling statement due to user request");
+  arm();
+}
+
+EngineCore::SessionPtr EngineCore::ask(std::shared_ptr<EngineLink> link, const std::string& gateway,
+                                       std::string statement, double grant_mb, unsigned priority) {
+  auto c = open(std::move(link));
+  c->gateway = gateway;
+  c->process = ++processes_;
+  c->started = true;
+  c->grant_mb = grant_mb;
+  c->priority = priority;
+  c->statements.push_back({std::move(statement), false, {}});
+  next_statement(c);
+  return c;
+}
+
+void EngineCore::answer(const SessionPtr& c, std::string_view code, std::string cost) {
+  c->job = 0;
+  c->busy = false;
+  c->link->ended(options_.tells_load ? load_text() : "", code, std::move(cost));
+  close(c, false);
+}
+
 void EngineCore::next_statement(const SessionPtr& c) {
   if (c->busy || c->closed || c->statements.empty()) return;
   const auto statement = std::move(c->statements.front());
@@ -389,6 +418,7 @@
 void EngineCore::fail(const SessionPtr& c, std::string_view code, std::string_view message) {
   record("error", fmt::format(R"("id":"{}","gw":"{}","code":"{}")", c->request.id, c->gateway, code));
   c->job = 0;
+  if (c->link->by_message()) return answer(c, code, "");
   std::string out;
   tell_load(out);
   sql::put_error(out, {"ERROR", code, message});
@@ -399,14 +429,17 @@
   });
 }
 
-void EngineCore::tell_load(std::string& out) {
-  if (!options_.tells_load) return;
+std::string EngineCore::load_text() {
   const auto now = world_.now();
   loads_.emplace_back(
       now, fmt::format("inflight={} util={:.3f} queue=0 memory_share={:.3f} disk_share={:.3f}",
                        model_.running(), model_.busy(), model_.memory_used(), model_.disks_busy()));
   while (loads_.size() > 1 && loads_[1].first <= now - faults_.late_loads) loads_.pop_front();
-  sql::put_parameter(out, "heronwell.load", loads_.front().second);
+  return loads_.front().second;
+}
+
+void EngineCore::tell_load(std::string& out) {
+  if (options_.tells_load) sql::put_parameter(out, "heronwell.load", load_text());
 }
 
 // The work is done: the answer goes out, or what the fault makes of it.
@@ -428,6 +461,12 @@
   c->rows_left = request.no_rows ? 0 : request.rows * request.each.size();
   c->rows_sent = 0;
   c->cut = !request.plain && chance(faults_.cut);
+  if (c->link->by_message()) {
+    if (c->cut) return record("cut", *c, request.id), close(c, true);
+    if (request.late_error) return fail(c, request.error, "late");
+    if (!request.plain) record("sent", *c, request.id);
+    return answer(c, "", options_.tells_cost && !request.plain ? cost_of(request) : "");
+  }
   std::string out;
   tell_load(out);
   if (request.bound) {
@@ -452,9 +491,7 @@
   if (c->cut) return send(c, std::move(out), [this, c] { record("cut", *c, c->request.id), close(c, true); });
   if (c->request.late_error) return send(c, std::move(out), [this, c] { fail(c, c->request.error, "late"); });
   if (options_.tells_cost && !c->request.plain)
-    sql::put_notice(out, {"NOTICE", "01H04",
-                          fmt::format("work_ms={:.3f} memory_mb={:.1f}", c->request.job.work * 1e3,
-                                      c->request.job.memory_mb)});
+    sql::put_notice(out, {"NOTICE", "01H04", cost_of(c->request)});
   sql::put_complete(out, fmt::format("{} {}", c->request.tag == "INSERT" ? "INSERT 0" : c->request.tag,
                                      c->request.no_rows ? c->request.rows : c->rows_sent));
   sql::put_ready(out);
@@ -500,11 +537,15 @@
   settle(world_.now());
   if (which == EngineWorld::Clock::notes) {
     for (const auto& [id, c] : jobs_) {
+      const bool stands = model_.stands(id);
+      const std::string_view code = stands ? "01H03" : "01H01";
+      auto text = stands ? "load" : fmt::format("{:.3f}", model_.progress(id));
+      if (c->link->by_message()) {
+        c->link->note(code, std::move(text));
+        continue;
+      }
       std::string out;
-      if (model_.stands(id))
-        sql::put_notice(out, {"NOTICE", "01H03", "load"});
-      else
-        sql::put_notice(out, {"NOTICE", "01H01", fmt::format("{:.3f}", model_.progress(id))});
+      sql::put_notice(out, {"NOTICE", code, text});
       c->link->add(out);  // nothing else is being written while it runs
     }
     note();
--- a/src/rehearsal/engine_core.hpp
+++ b/src/rehearsal/engine_core.hpp
@@ -71,6 +71,13 @@
   virtual void send(std::string bytes, std::function<void()> then) = 0;  // then: once they have gone out
   virtual void add(std::string_view bytes) = 0;                          // while nothing else is being sent
   virtual void close(bool reset) = 0;
+  // For a link that takes messages in place of bytes, one statement each: what is told while it runs, and its
+  // end. `code`: of an error; empty: the whole answer.
+  [[nodiscard]] virtual bool by_message() const { return false; }
+  virtual void note(std::string_view code, std::string text) { (void)code, (void)text; }
+  virtual void ended(std::string load, std::string_view code, std::string cost) {
+    (void)load, (void)code, (void)cost;
+  }
 };
 
 class EngineCore {
@@ -87,6 +94,10 @@
   [[nodiscard]] SessionPtr open(std::shared_ptr<EngineLink> link);
   void received(SessionPtr session, std::string_view bytes);
   void over(SessionPtr session);
+  // For links that take messages.
+  [[nodiscard]] SessionPtr ask(std::shared_ptr<EngineLink> link, const std::string& gateway,
+                               std::string statement, double grant_mb, unsigned priority);
+  void cancel(const SessionPtr& session);
   void woken(EngineWorld::Clock which);
 
   void faults(const EngineFaults& faults);
@@ -106,7 +117,9 @@
   void set(const SessionPtr& c, const std::string& statement);
   void turn_away(const SessionPtr& c);
   void fail(const SessionPtr& c, std::string_view code, std::string_view message);
+  std::string load_text();
   void tell_load(std::string& out);
+  void answer(const SessionPtr& c, std::string_view code, std::string cost);
   void finish(const SessionPtr& c);
   void rows(const SessionPtr& c, std::string out);
   void send(const SessionPtr& c, std::string bytes, std::function<void()> then);  // then: if it is not closed
@@ -120,7 +133,7 @@
   Recorder& recorder_;
   EngineModel model_;
   EngineFaults faults_;
-  pcg64 random_;
+  pcg64 random_, secrets_;
   bool listens_ = true;
   std::map<std::uint64_t, SessionPtr> sessions_;  // by number
   std::map<std::uint64_t, SessionPtr> jobs_;
--- a/src/rehearsal/plan.cpp
+++ b/src/rehearsal/plan.cpp
@@ -126,6 +126,13 @@
   day.relay = {engines.number("relay_repeat", 0, 0, 1), engines.number("relay_claim", 0, 0, 1)};
   engines.close();
 
+  auto wires = file.section("network");
+  if (wires.has("delay")) day.wires.delay = wires.duration("delay");
+  if (wires.has("jitter")) day.wires.jitter = wires.duration("jitter");
+  day.wires.refused = wires.number("refused", 0, 0, 1);
+  day.wires.lost = wires.number("lost", 0, 0, 1);
+  wires.close();
+
   auto settings = file.section("router");
   YAML::Node whole = YAML::LoadFile(path);
   whole["router"]["gateway"]["of"] = day.gateways;
--- a/src/rehearsal/plan.hpp
+++ b/src/rehearsal/plan.hpp
@@ -67,12 +67,20 @@
   std::string plan;  // of groups, that is in force meanwhile
 };
 
+// Between the processes of an emulated day; on loopback the machine's own holds.
+struct Wires {
+  Time delay = std::chrono::microseconds(50);  // one way
+  Time jitter{};                               // up to so much more, drawn for each piece
+  double refused = 0, lost = 0;                // chances: of a dial, of a datagram
+};
+
 struct Day {
   std::string file;
   std::uint64_t seed = 1;
   Time length{}, tail{};
   unsigned gateways = 1, engines = 1, threads = 1;
   Traits traits;
+  Wires wires;
   RelayFaults relay;   // of relays between routers and engines; none if all are 0
   std::string router;  // YAML of the router's settings
   Settings settings;   // as read from it
--- a/src/rehearsal/talk.cpp
+++ b/src/rehearsal/talk.cpp
@@ -60,6 +60,8 @@
     if (cls.effect != Effect::safe) more.push_back({"idempotency-key", idempotency});
   }
   http::put_request(talk.bytes, "POST", graphql ? "/graphql" : "/v1/query", "127.0.0.1", body, more);
+  talk.body = body;
+  if (load.timeout || graphql) talk.timeout = timeout;
   talk.record = fmt::format(
       R"("gw":"gw-{}","cls":"{}","tenant":{},"key":{},"group":{},"deadline_ms":{},"work_ms":{:.3f},"first":"q{}")",
       ask.gateway, cls.name, ask.tenant, ask.key, ask.group, timeout, ask.work_ms, ask.number);
@@ -68,8 +70,16 @@
   return talk;
 }
 
+Heard heard_of(const Day& day, const Ask& ask, int status, const std::string& outcome, Time pause) {
+  Heard heard;
+  heard.statements.push_back({status, outcome});
+  heard.again =
+      outcome == "refused" || (outcome == "failed" && day.settings.classes[ask.cls].effect == Effect::safe);
+  heard.pause = pause > Time::zero() ? pause : kUsualPause;
+  return heard;
+}
+
 Heard hear(const Day& day, const Ask& ask, std::size_t statements, int status, const std::string& body) {
-  const auto& cls = day.settings.classes[ask.cls];
   const bool graphql = day.loads[ask.cls].fields > 0;
   Heard heard;
   const auto json =
@@ -83,12 +93,8 @@
     return heard;
   }
   const auto outcome = status == 200 ? "served" : json.is_object() ? json.value("outcome", "?") : "?";
-  heard.statements.push_back({status, outcome});
-  heard.again = outcome == "refused" || (outcome == "failed" && cls.effect == Effect::safe);
-  heard.pause = json.is_object() && json.contains("retry_after_ms")
-                    ? Time(json["retry_after_ms"].get<std::int64_t>() * 1ms)
-                    : kUsualPause;
-  return heard;
+  return heard_of(day, ask, status, outcome,
+                  json.is_object() ? json.value("retry_after_ms", std::int64_t{0}) * 1ms : Time::zero());
 }
 
 void count(const Heard& heard, LoadReport& report) {
--- a/src/rehearsal/talk.hpp
+++ b/src/rehearsal/talk.hpp
@@ -23,8 +23,9 @@
 struct Talk {
   std::vector<std::string> ids;  // of its statements, one each
   std::string bytes;
-  std::string record;  // the fields of its "sent"
-  Time longest{};      // after sending, before the client hangs up or gives up
+  std::string body, timeout;  // of `bytes`; timeout: of its heronwell-timeout-ms, empty: none
+  std::string record;         // the fields of its "sent"
+  Time longest{};             // after sending, before the client hangs up or gives up
   bool hangs_up = false;
 };
 Talk talk_of(const Day& day, const Ask& ask, unsigned retry);
@@ -40,6 +41,8 @@
   Time pause{};
   bool unknown = false;  // by GraphQL: a statement may have run
 };
+// The same of an answer to one statement that came as a message; `pause`: zero: none told.
+Heard heard_of(const Day& day, const Ask& ask, int status, const std::string& outcome, Time pause);
 Heard hear(const Day& day, const Ask& ask, std::size_t statements, int status, const std::string& body);
 void count(const Heard& heard, LoadReport& report);
 // The fields of an "answer".
--- a/tests/emulator/emulator_test.cpp
+++ b/tests/emulator/emulator_test.cpp
@@ -223,6 +223,51 @@
   }
 }
 
+// What engines saw, in the order of time: when, where, what, which statement.
+std::vector<std::string> seen_by_engines(const std::string& folder) {
+  std::vector<std::string> all;
+  for (const auto& file : std::filesystem::directory_iterator(folder)) {
+    const auto name = file.path().filename().string();
+    std::ifstream lines(file.path());
+    for (std::string line; name.starts_with("engine-") && std::getline(lines, line);)
+      if (const auto id = line.find("\"id\":\"q"); id != std::string::npos)
+        all.push_back(line.substr(0, line.find('"', id + 6)) + " " + name);  // no number of a connection
+  }
+  std::ranges::sort(all);
+  return all;
+}
+
+TEST(Fidelities, MakeTheSameDecisionsToTheNanosecondWhereTheNetworkTakesNoTime) {
+  auto day = rehearsal::read_day(HERONWELL_DAYS "/same-day.yaml");
+  const auto full = folder_of("full"), fast = folder_of("fast");
+  for (std::uint64_t seed = 5; seed < 5 + kSeeds; ++seed) {
+    day.seed = seed;
+    const auto one = play(day, {.delay = 0s}, full), two = play(day, {.delay = 0s, .messages = true}, fast);
+    const auto a = seen_by_engines(full), b = seen_by_engines(fast);
+    EXPECT_GT(a.size(), 8000U);
+    EXPECT_EQ(a, b);
+    EXPECT_GT(one.report.refused, 50U);
+    EXPECT_EQ(rehearsal::text_of(one.report), rehearsal::text_of(two.report));
+    EXPECT_LT(two.events, one.events * 2 / 3);
+  }
+}
+
+TEST(Fidelities, KeepTheRulesWithoutBytesToo) {
+  auto day = rehearsal::read_day(HERONWELL_DAYS "/ci-day.yaml");
+  EXPECT_THROW((void)play(day, {.messages = true}, ""), yaml::Error);  // it asks by GraphQL
+  for (auto& load : day.loads) load.fields = 0;
+  const auto folder = folder_of("messages");
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    day.seed = seed;
+    const auto played = play(day, {.messages = true}, folder);
+    EXPECT_TRUE(played.left.empty()) << played.left.front();
+    const auto audit = rehearsal::audit(folder);
+    EXPECT_TRUE(audit.kept()) << rehearsal::report(audit);
+    for (std::size_t rule = 0; rule < audit.cases.size(); ++rule)
+      EXPECT_GT(audit.cases[rule], 20U) << rule + 1;
+  }
+}
+
 TEST(Swarms, DrawTheSameDaysOnAnyNumberOfThreadsAndFindNothingToday) {
   SwarmPlan plan{.base = HERONWELL_DAYS "/ci-day.yaml", .folder = folder_of("swarm"), .seed = 11};
   plan.days = kSeeds * 2;
