Experiments: a plan, results in SQLite, a report with charts, seven policies

Policies: the router's own strand, and random, round robin, least outstanding, power of two, a static and an adaptive limit, for comparison only. Targets of troubles may be a part (25%).

--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -4,6 +4,7 @@
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 #include <sys/resource.h>
+#include <xxhash.h>
 
 #include <CLI/CLI.hpp>
 #include <boost/asio/io_context.hpp>
@@ -28,6 +29,8 @@
 #include "daemon/server.hpp"
 #include "emulator/play.hpp"
 #include "emulator/swarm.hpp"
+#include "experiment/report.hpp"
+#include "experiment/run.hpp"
 #include "explore/search.hpp"
 #include "fleet/list.hpp"
 #include "rehearsal/audit.hpp"
@@ -375,6 +378,45 @@
   return played.left.empty() ? kDone : kFailed;
 }
 
+// ---- experiments ---------------------------------------------------------------------------------------
+// Results of different builds are no comparison of policies: the program itself is what tells them apart.
+std::string build_of_this() {
+  std::ifstream self("/proc/self/exe", std::ios::binary);
+  const std::string bytes{std::istreambuf_iterator<char>(self), {}};
+  return fmt::format("{} {:016x}", HERONWELL_VERSION, XXH3_64bits(bytes.data(), bytes.size()));
+}
+
+int run_experiment(const std::string& plan_file, const std::string& file, unsigned threads,
+                   std::size_t most) {
+  const auto plan = experiment::read_plan(plan_file);
+  const auto clock = [] {
+    return std::chrono::duration<double>(std::chrono::steady_clock::now().time_since_epoch()).count();
+  };
+  const double begun = clock();
+  const auto told = [&](const experiment::Progress& p) {
+    std::cout << fmt::format("{}/{} in {:.0f} s{}: {}\n", p.done, p.of, clock() - begun,
+                             p.before > 0 ? fmt::format(", {} done before", p.before) : "", p.last)
+              << std::flush;
+  };
+  const auto ran = experiment::run(plan, file, build_of_this(), threads, most, clock, told);
+  std::cout << fmt::format("{} runs done; heronwell experiment report {} --out FILE.html\n", ran, file);
+  return kDone;
+}
+
+int report_experiment(const std::string& file, const std::string& out) {
+  const experiment::Store store(file);
+  std::istringstream names(store.about("policies"));
+  const std::vector<std::string> policies{std::istream_iterator<std::string>(names), {}};
+  std::cout << experiment::table_of(experiment::lines_of(store.rows(), policies));
+  if (out.empty()) return kDone;
+  const auto html = experiment::html_of(store);
+  std::ofstream stream(out);
+  stream << html;
+  stream.flush();
+  if (!stream) throw yaml::Error(out + ":1:1: report: a file that can be written");
+  return kDone;
+}
+
 int run_swarm(const emulator::SwarmPlan& plan) {
   const auto begun = std::chrono::steady_clock::now();
   const auto swept = emulator::swarm(plan);
@@ -486,6 +528,24 @@
   emulating->add_option("--jitter", jitter, "Up to so much more, drawn for each");
   emulating->add_flag("--fast", fast, "Messages between processes in place of bytes");
 
+  auto* experimenting = app.add_subcommand("experiment", "Policies and parameters on many emulated days");
+  experimenting->require_subcommand(1);
+  std::string results, other_results;
+  unsigned experiment_threads = std::max(1U, std::thread::hardware_concurrency());
+  std::size_t most_runs = SIZE_MAX;
+  auto* experiment_run = experimenting->add_subcommand("run", "Run what a plan asks for and a file lacks");
+  experiment_run->add_option("plan", file, "Plan, YAML (docs/operators/experiments.md)")->required();
+  experiment_run->add_option("--out", results, "Results, SQLite; goes on where it was left")->required();
+  experiment_run->add_option("--threads", experiment_threads);
+  experiment_run->add_option("--most", most_runs, "No more runs than this, this time");
+  auto* experiment_report = experimenting->add_subcommand("report", "A table, and one HTML file with charts");
+  experiment_report->add_option("results", results)->required();
+  experiment_report->add_option("--out", folder, "HTML file");
+  auto* experiment_compare =
+      experimenting->add_subcommand("compare", "What changed from A to B, beyond noise");
+  experiment_compare->add_option("a", results)->required();
+  experiment_compare->add_option("b", other_results)->required();
+
   auto* swarming = app.add_subcommand("swarm", "Play and audit days of troubles drawn at random");
   emulator::SwarmPlan swarm_plan;
   swarm_plan.threads = std::max(1U, std::thread::hardware_concurrency());
@@ -589,6 +649,13 @@
       return emulate(day, folder, fast);
     }
     if (*swarming) return run_swarm(swarm_plan);
+    if (*experiment_run) return run_experiment(file, results, experiment_threads, most_runs);
+    if (*experiment_report) return report_experiment(results, folder);
+    if (*experiment_compare) {
+      const experiment::Store a(results), b(other_results);
+      std::cout << experiment::text_of(experiment::compare(a.rows(), b.rows()));
+      return kDone;
+    }
     if (*auditing) return audit_day(folder);
     bounds.fair = !no_fair;
     if (*explore_run) return run_search(world_names, bounds, limits, pairs, stories);
--- a/src/emulator/clients.cpp
+++ b/src/emulator/clients.cpp
@@ -236,6 +236,7 @@
       recorder_(recorder),
       process_(network.loop()),
       asks_(rehearsal::draw(day)),
+      fates_(asks_.size()),
       idle_(ports_.size()) {}
 
 Clients::~Clients() = default;
@@ -273,6 +274,12 @@
 void Clients::answered(const rehearsal::Ask& ask, unsigned retry, const rehearsal::Talk& talk,
                        const rehearsal::Heard& heard, Time took, std::uint64_t bytes) {
   rehearsal::count(heard, report_);
+  auto& fate = fates_[ask.number];
+  for (const auto& one : heard.statements) {
+    if (one.status == 200 && !fate.took) fate.took = network_.loop().now() - start_ - ask.at;
+    fate.refused = fate.refused || one.outcome == "refused";
+    fate.failed = fate.failed || one.outcome == "failed";
+  }
   for (std::size_t i = 0; i < talk.ids.size(); ++i)
     write("answer", talk.ids[i], rehearsal::answer_record(heard.statements[i], took, bytes));
   if (!heard.again || retry >= day_.retries) return;
--- a/src/emulator/clients.hpp
+++ b/src/emulator/clients.hpp
@@ -21,6 +21,8 @@
   void begin();
   [[nodiscard]] bool done() const { return at_ == asks_.size() && open_ == 0; }
   [[nodiscard]] const rehearsal::LoadReport& report() const { return report_; }
+  [[nodiscard]] const std::vector<rehearsal::Ask>& asks() const { return asks_; }
+  [[nodiscard]] const std::vector<rehearsal::Fate>& fates() const { return fates_; }  // by ask
 
  private:
   class Connection;
@@ -43,6 +45,7 @@
   rehearsal::Recorder& recorder_;
   Process process_;
   std::vector<rehearsal::Ask> asks_;
+  std::vector<rehearsal::Fate> fates_;
   std::size_t at_ = 0, open_ = 0;
   std::vector<std::vector<Ptr>> idle_;  // by gateway
   rehearsal::LoadReport report_;
--- a/src/emulator/gateway.cpp
+++ b/src/emulator/gateway.cpp
@@ -105,7 +105,8 @@
         front(of.config_.module),
         tracer(of.config_.trace, of.config_.name, "", of.around_.unix_offset),
         strands(of),
-        strand(strands, of.config_, metrics, of.config_.seed.value_or(1), of.config_.threads),
+        strand(decider_of(of.around_.policy, strands, of.config_, metrics, of.config_.seed.value_or(1),
+                          of.config_.threads)),
         orders(of.config_.threads) {
     if (of.schema_) graphql.emplace(of.config_, of.schema_, [&of] { return of.process_.loop().now(); });
     for (unsigned i = 0; i < of.config_.threads; ++i) {
@@ -122,25 +123,25 @@
     if (std::exchange(reading, true)) return;
     gateway.process_.at(gateway.process_.loop().now(), [this] {
       reading = false;
-      strand.read(std::exchange(told, {}));
+      strand->read(std::exchange(told, {}));
       arm();
     });
   }
 
   void arm() {
-    const auto due = strand.next_due();
+    const auto due = strand->next_due();
     if (due == armed || due == Time::max()) return;
     armed = due;
     gateway.process_.at(due, [this, due] {
       if (armed != due) return;
       armed = Time::max();
-      strand.run();
+      strand->run();
       arm();
     });
   }
 
   void measure() {
-    strand.measure();
+    strand->measure();
     gateway.process_.at(gateway.process_.loop().now() + kMeasure, [this] { measure(); });
   }
 
@@ -150,7 +151,7 @@
   trace::Tracer tracer;
   std::optional<path::Graphql> graphql;
   Strands strands;
-  path::Strand strand;
+  std::unique_ptr<Decider> strand;
   std::vector<path::Told> told;  // for the strand
   bool reading = false;
   Time armed = Time::max();
@@ -255,14 +256,14 @@
   kill();
   process_.begin();
   life_ = std::make_unique<Life>(*this);
-  life_->strand.on_ready([this] {
+  life_->strand->on_ready([this] {
     if (ready_) ready_();
   });
   around_.network.listen(port_, process_, [this](const EndPtr& end) {
     auto& life = *life_;
     life.shards[life.clients++ % life.shards.size()]->serve(end, "127.0.0.1");
   });
-  life_->strand.run();
+  life_->strand->run();
   life_->arm();
   life_->measure();
   around_.list.ask(*this, 0);
@@ -308,12 +309,12 @@
 
 void Gateway::reload_groups(const std::string& text) {
   process_.run([this, text] {
-    life_->strand.reload_groups(text);
+    life_->strand->reload_groups(text);
     life_->arm();
   });
 }
 
-const router::Host* Gateway::host() const { return life_ ? &life_->strand.host() : nullptr; }
+std::size_t Gateway::remembered() const { return life_ ? life_->strand->remembered() : 0; }
 
 std::size_t Gateway::open() const {
   std::size_t sum = 0;
--- a/src/emulator/gateway.hpp
+++ b/src/emulator/gateway.hpp
@@ -5,6 +5,7 @@
 #include <memory>
 #include <vector>
 
+#include "emulator/decider.hpp"
 #include "emulator/network.hpp"
 #include "path/graphql.hpp"
 #include "path/shard.hpp"
@@ -36,6 +37,7 @@
     std::vector<std::unique_ptr<Gateway>>& all;         // by number, for datagrams between them
     Time unix_offset{};                                 // Unix time less the loop's
     std::function<Engine*(std::uint16_t port)> engine;  // for messages in place of connections
+    Policy policy = Policy::heronwell;
   };
   // Throws what config::read_config() and the machines throw. `schema`: null: no GraphQL.
   Gateway(Surroundings around, config::Config config, std::shared_ptr<const graphql::Bound> schema,
@@ -53,9 +55,9 @@
   // Calls `then` with each first ready list of a life.
   void on_ready(std::function<void()> then) { ready_ = std::move(then); }
   void reload_groups(const std::string& text);
-  void listed(path::Listed listed);                // by the list's answer
-  [[nodiscard]] const router::Host* host() const;  // null: not alive
-  [[nodiscard]] std::size_t open() const;          // requests its shards have
+  void listed(path::Listed listed);              // by the list's answer
+  [[nodiscard]] std::size_t remembered() const;  // requests, by whoever decides
+  [[nodiscard]] std::size_t open() const;        // requests its shards have
 
  private:
   class ShardWorld;
--- a/src/emulator/play.cpp
+++ b/src/emulator/play.cpp
@@ -25,8 +25,9 @@
 
 class Stage final : rehearsal::Actors {
  public:
-  Stage(const rehearsal::Day& day, const NetworkSettings& network, const std::string& folder)
+  Stage(const rehearsal::Day& day, const NetworkSettings& network, const std::string& folder, Policy policy)
       : day_(day),
+        policy_(policy),
         folder_(folder),
         network_(loop_, network, day.seed),
         recorder_(file("day"), "day", "day", kBegin),
@@ -62,7 +63,8 @@
     list_recorder_.whole(loop_.now());
     for (auto& engine : engines_) engine->end();
     recorder_.whole(loop_.now());
-    Played played{clients.report(), loop_.now() - kBegin, loop_.events(), left_over()};
+    Played played{clients.report(), loop_.now() - kBegin, loop_.events(),
+                  left_over(),      clients.asks(),       clients.fates()};
     loop_.end();
     for (auto& gateway : gateways_) gateway->kill();
     return played;
@@ -72,10 +74,9 @@
   [[nodiscard]] std::vector<std::string> left_over() const {
     std::vector<std::string> left;
     for (const auto& gateway : gateways_) {
-      const auto* host = gateway->host();
-      if (host == nullptr || host->open() + host->remembered() + gateway->open() == 0) continue;
-      left.push_back(fmt::format("{} still has {} requests open, {} remembered, {} in its shards",
-                                 gateway->config().name, host->open(), host->remembered(), gateway->open()));
+      if (gateway->remembered() + gateway->open() == 0) continue;
+      left.push_back(fmt::format("{} still remembers {} requests, and has {} in its shards",
+                                 gateway->config().name, gateway->remembered(), gateway->open()));
     }
     return left;
   }
@@ -129,7 +130,8 @@
       schema_ = path::bind_schema(config, config.graphql.sdl, "graphql.sdl");
     gateways_.push_back(std::make_unique<Gateway>(
         Gateway::Surroundings{network_, list_, gateways_, kUnixOffset,
-                              [this](std::uint16_t port) { return engines_[port - kEnginePorts].get(); }},
+                              [this](std::uint16_t port) { return engines_[port - kEnginePorts].get(); },
+                              policy_},
         std::move(config), schema_, port_of(i)));
     record("gateway_started", "gw", i);
     gateways_[i]->begin();
@@ -192,6 +194,7 @@
   }
 
   const rehearsal::Day& day_;
+  Policy policy_;
   std::string folder_;
   Loop loop_{kBegin};
   Network network_;
@@ -215,7 +218,8 @@
   return network;
 }
 
-Played play(const rehearsal::Day& day, const NetworkSettings& network, const std::string& folder) {
+Played play(const rehearsal::Day& day, const NetworkSettings& network, const std::string& folder,
+            Policy policy) {
   if (day.relay.repeat > 0 || day.relay.claim > 0)
     throw yaml::Error(day.file + ":1:1: engines.relay_repeat, engines.relay_claim: relays are not emulated");
   if (network.messages && std::ranges::any_of(day.loads, [](const auto& load) { return load.fields > 0; }))
@@ -228,7 +232,7 @@
     std::filesystem::copy_file(day.file, folder + "/day.yaml",
                                std::filesystem::copy_options::overwrite_existing);
   }
-  return Stage(day, network, folder).run();
+  return Stage(day, network, folder, policy).run();
 }
 
 }  // namespace heronwell::emulator
--- a/src/emulator/play.hpp
+++ b/src/emulator/play.hpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "emulator/decider.hpp"
 #include "emulator/network.hpp"
 #include "rehearsal/plan.hpp"
 #include "rehearsal/talk.hpp"
@@ -16,12 +17,15 @@
   rehearsal::LoadReport report;
   Time virtual_time{};
   std::uint64_t events = 0;
-  std::vector<std::string> left;  // what routers still had long after the last request; none is right
+  std::vector<std::string> left;     // what routers still had long after the last request; none is right
+  std::vector<rehearsal::Ask> asks;  // that came, and what became of each
+  std::vector<rehearsal::Fate> fates;
 };
 
 NetworkSettings network_of(const rehearsal::Day& day, bool messages = false);
 // `folder`: gets the records, and a copy of the day; empty: nothing is kept. Throws yaml::Error for a wrong
 // configuration of the routers.
-Played play(const rehearsal::Day& day, const NetworkSettings& network, const std::string& folder);
+Played play(const rehearsal::Day& day, const NetworkSettings& network, const std::string& folder,
+            Policy policy = Policy::heronwell);
 
 }  // namespace heronwell::emulator
--- a/src/rehearsal/audit.cpp
+++ b/src/rehearsal/audit.cpp
@@ -13,6 +13,7 @@
 #include <set>
 
 #include "rehearsal/plan.hpp"
+#include "rehearsal/talk.hpp"
 
 namespace heronwell::rehearsal {
 namespace {
@@ -528,20 +529,18 @@
       std::vector<WorthRow*> rows{
           &audit_.classes[static_cast<std::size_t>(found - day_.settings.classes.begin())]};
       if (asked.tenant < audit_.tenants.size()) rows.push_back(&audit_.tenants[asked.tenant]);
-      const double aim = std::chrono::duration<double>(found->aim).count() +
-                         found->aim_stretch * asked.work_ms / 1e3 / found->threads;
-      std::optional<double> took;
+      std::optional<Time> took;
       bool refused = false, failed = false;
       for (const auto* one : tries)
         for (const auto& answer : one->answers) {
-          if (answer.status == 200 && !took) took = static_cast<double>(answer.at - asked.sent) / 1e9;
+          if (answer.status == 200 && !took) took = Time(answer.at - asked.sent);
           refused = refused || answer.outcome == "refused";
           failed = failed || answer.outcome == "failed";
         }
-      const double share = !took ? 0 : *took <= aim ? 1 : found->late_share;
+      const double share = share_of_worth(*found, asked.work_ms, took);
       for (auto* row : rows) {
         ++row->asked;
-        ++(took      ? (*took <= aim ? row->in_time : row->late)
+        ++(took      ? (share == 1 ? row->in_time : row->late)
            : failed  ? row->failed
            : refused ? row->refused
                      : row->lost);
--- a/src/rehearsal/plan.cpp
+++ b/src/rehearsal/plan.cpp
@@ -65,10 +65,16 @@
     section.fail("plan", "expected the name of one of the day's plans of groups");
   const auto most = of_engines(trouble.kind) ? day.engines : of_gateways(trouble.kind) ? day.gateways : 0;
   for (const auto& text : section.strings("targets")) {
+    if (text.ends_with('%') && text.find_first_not_of("0123456789") + 1 == text.size() && text.size() < 5) {
+      const auto some = std::max(1U, static_cast<unsigned>(std::stoul(text)) * most / 100);
+      for (unsigned i = 0; i < std::min(some, most); ++i) trouble.targets.push_back(i * most / some);
+      continue;
+    }
     const auto number = text.find_first_not_of("0123456789") == std::string::npos && text.size() < 6
                             ? std::stoul(text)
                             : most;
-    if (number >= most) section.fail("targets", fmt::format("expected numbers under {}", most));
+    if (number >= most)
+      section.fail("targets", fmt::format("expected numbers under {}, or a part such as 25%", most));
     trouble.targets.push_back(static_cast<unsigned>(number));
   }
   if (most > 0 && trouble.targets.empty())
@@ -100,8 +106,8 @@
 
 std::string_view name_of(TroubleKind kind) { return kKinds[static_cast<std::size_t>(kind)]; }
 
-Day read_day(const std::string& path) {
-  auto file = yaml::Section::file(path);
+namespace {
+Day read(yaml::Section file, YAML::Node whole, const std::string& path) {
   Day day;
   day.file = path;
   auto head = file.section("day");
@@ -134,7 +140,6 @@
   wires.close();
 
   auto settings = file.section("router");
-  YAML::Node whole = YAML::LoadFile(path);
   whole["router"]["gateway"]["of"] = day.gateways;
   day.router = YAML::Dump(whole["router"]);
   auto again = yaml::Section::text(day.router, path + " (router)");
@@ -172,6 +177,13 @@
   file.close();
   return day;
 }
+}  // namespace
+
+Day read_day(const std::string& path) { return read(yaml::Section::file(path), YAML::LoadFile(path), path); }
+
+Day read_day_text(const std::string& text, const std::string& name) {
+  return read(yaml::Section::text(text, name), YAML::Load(text), name);
+}
 
 std::uint16_t zone_of(const Day& day, unsigned engine) {
   return static_cast<std::uint16_t>(engine % day.names.zones.size());
--- a/src/rehearsal/plan.hpp
+++ b/src/rehearsal/plan.hpp
@@ -95,6 +95,7 @@
 };
 
 Day read_day(const std::string& path);  // throws yaml::Error
+Day read_day_text(const std::string& text, const std::string& name);
 // Zone and kind of engine i: dealt out in turn.
 std::uint16_t zone_of(const Day& day, unsigned engine);
 std::uint16_t kind_of(const Day& day, unsigned engine);
--- a/src/rehearsal/talk.cpp
+++ b/src/rehearsal/talk.cpp
@@ -97,6 +97,12 @@
                   json.is_object() ? json.value("retry_after_ms", std::int64_t{0}) * 1ms : Time::zero());
 }
 
+double share_of_worth(const ClassSettings& cls, double work_ms, std::optional<Time> took) {
+  if (!took) return 0;
+  const Time aim = cls.aim + Time(static_cast<std::int64_t>(cls.aim_stretch * work_ms * 1e6 / cls.threads));
+  return *took <= aim ? 1 : cls.late_share;
+}
+
 void count(const Heard& heard, LoadReport& report) {
   for (const auto& one : heard.statements)
     ++(one.outcome == "served"    ? report.served
--- a/src/rehearsal/talk.hpp
+++ b/src/rehearsal/talk.hpp
@@ -44,6 +44,13 @@
 // The same of an answer to one statement that came as a message; `pause`: zero: none told.
 Heard heard_of(const Day& day, const Ask& ask, int status, const std::string& outcome, Time pause);
 Heard hear(const Day& day, const Ask& ask, std::size_t statements, int status, const std::string& body);
+// What became of an arrival, over its client's tries.
+struct Fate {
+  std::optional<Time> took;  // until it was served, since it was first sent
+  bool refused = false, failed = false;
+};
+// The part of a query's worth that an answer earns which took so long; nullopt: none came.
+double share_of_worth(const ClassSettings& cls, double work_ms, std::optional<Time> took);
 void count(const Heard& heard, LoadReport& report);
 // The fields of an "answer".
 std::string answer_record(const Heard::One& one, Time took, std::uint64_t bytes);
