--- a/src/emulator/decider.cpp
+++ b/src/emulator/decider.cpp
@@ -34,6 +34,7 @@
   void on_ready(std::function<void()> then) override { strand_.on_ready(std::move(then)); }
   void measure() override { strand_.measure(); }
   void reload_groups(const std::string& text) override { strand_.reload_groups(text); }
+  [[nodiscard]] std::size_t open() const override { return strand_.host().open(); }
   [[nodiscard]] std::size_t remembered() const override {
     return strand_.host().open() + strand_.host().remembered();
   }
@@ -77,6 +78,7 @@
   void on_ready(std::function<void()> then) override { ready_ = std::move(then); }
   void measure() override {}
   void reload_groups(const std::string&) override {}
+  [[nodiscard]] std::size_t open() const override { return open_.size(); }
   [[nodiscard]] std::size_t remembered() const override { return open_.size() + out_.size(); }
 
  private:
--- a/src/emulator/gateway.cpp
+++ b/src/emulator/gateway.cpp
@@ -1,5 +1,7 @@
 #include "emulator/gateway.hpp"
 
+#include <fmt/format.h>
+
 #include <utility>
 
 #include "emulator/carrier.hpp"
@@ -316,6 +318,15 @@
 
 std::size_t Gateway::remembered() const { return life_ ? life_->strand->remembered() : 0; }
 
+std::string Gateway::disagreement() const {
+  if (!life_ || process_.stopped() || !life_->told.empty()) return "";
+  for (const auto& orders : life_->orders)
+    if (!orders.empty()) return "";
+  const auto mine = open(), decided = life_->strand->open();
+  if (mine == decided) return "";
+  return fmt::format("{}: the strand has {} requests open, its shards {}", config_.name, decided, mine);
+}
+
 std::size_t Gateway::open() const {
   std::size_t sum = 0;
   if (life_)
--- a/src/emulator/gateway.hpp
+++ b/src/emulator/gateway.hpp
@@ -58,6 +58,8 @@
   void listed(path::Listed listed);              // by the list's answer
   [[nodiscard]] std::size_t remembered() const;  // requests, by whoever decides
   [[nodiscard]] std::size_t open() const;        // requests its shards have
+  // While no event or command is between them, strand and shards have the same requests open. "": they agree.
+  [[nodiscard]] std::string disagreement() const;
 
  private:
   class ShardWorld;
--- a/tests/emulator/emulator_test.cpp
+++ b/tests/emulator/emulator_test.cpp
@@ -325,6 +325,66 @@
   EXPECT_GT(share_of_a(false, 3), 1.05 * 0.6);  // what the word is worth
 }
 
+TEST(Days, OfStallsLongerThanEveryTimeOutKeepTheRules) {
+  auto day = rehearsal::read_day(HERONWELL_DAYS "/ci-day.yaml");
+  const auto longest = std::ranges::max(day.settings.classes, {}, &ClassSettings::give_up).give_up;
+  day.length = 2 * longest + 8s;
+  const Time stall = longest + rehearsal::kPatience + 2s;  // clients have given up, too
+  ASSERT_LT(stall + 3s, day.length);
+  for (auto& load : day.loads) load.rate /= 4;
+  const auto trouble = [&](rehearsal::TroubleKind kind) {
+    rehearsal::Trouble one;
+    one.kind = kind;
+    one.at = 2s;
+    one.length = stall;
+    one.targets = {0};
+    return one;
+  };
+  using enum rehearsal::TroubleKind;
+  for (const auto& troubles : std::vector<std::vector<rehearsal::Trouble>>{
+           {trouble(gateway_stop)}, {trouble(engine_hang)}, {trouble(gateway_stop), trouble(engine_hang)}}) {
+    day.troubles = troubles;
+    const auto folder = folder_of("stall");
+    const auto played = play(day, {}, folder);
+    EXPECT_TRUE(played.left.empty()) << played.left.front();
+    const auto audit = rehearsal::audit(folder);
+    EXPECT_TRUE(audit.kept()) << rehearsal::report(audit);
+    EXPECT_GT(played.report.served, 300U);
+  }
+}
+
+TEST(Days, WithImpossibleValuesAreRefusedAtTheirPlace) {
+  const auto text = text_of(HERONWELL_DAYS "/same-day.yaml");
+  const auto error_of = [&](const std::string& from, const std::string& to) -> std::string {
+    auto wrong = text;
+    const auto at = wrong.find(from);
+    EXPECT_NE(at, std::string::npos) << from;
+    wrong.replace(at, from.size(), to);
+    try {
+      (void)rehearsal::read_day_text(wrong, "day.yaml");
+    } catch (const yaml::Error& error) {
+      return error.what();
+    }
+    return "none";
+  };
+  EXPECT_EQ(error_of("count: 3", "count: 3"), "none");
+  using Case = std::array<std::string, 3>;
+  for (const auto& [from, to, place] :
+       {Case{"engines: {count: 5", "engines: {count: 0", "engines.count"},
+        Case{"gateways: {count: 3}", "gateways: {count: -3}", "gateways.count"},
+        Case{"engines: {count: 5, cores: 4", "engines: {count: 5, cores: nan", "engines.cores"},
+        Case{"targets: [1]", "targets: [5]", "targets"}, Case{"targets: [1]", "targets: [150%%]", "targets"},
+        Case{"for: 2s, size: 1.5", "for: 20s, size: 1.5", "for"},
+        Case{"rate: 160", "rate: lots", "clients.classes.lookup.rate"},
+        Case{"clients:", "network: {lost: 1.5}\nclients:", "network.lost"},
+        Case{"clients:", "network: {delay: 1}\nclients:", "network.delay"},
+        Case{"kind: burst", "kind: earthquake", "kind"}, Case{"length: 12s", "length: 12h", "day.length"}}) {
+    const auto error = error_of(from, to);
+    EXPECT_NE(error.find("day.yaml:"), std::string::npos) << to << ": " << error;
+    EXPECT_NE(error.find(place), std::string::npos) << to << ": " << error;
+  }
+}
+
 TEST(Days, ThatCannotBeEmulatedAreRefused) {
   auto day = rehearsal::read_day(HERONWELL_DAYS "/ci-day.yaml");
   day.relay.repeat = 0.1;
--- a/tests/rehearsal/audit_test.cpp
+++ b/tests/rehearsal/audit_test.cpp
@@ -145,6 +145,24 @@
   EXPECT_TRUE(a.kept()) << report(a);
 }
 
+TEST_F(AuditTest, AClientThatGivesUpWhileItsRouterIsStoppedWasOwedNothing) {
+  write("day", 50, "gateway_stopped", R"("gw":"gw-0")");
+  write("day", 9000, "gateway_continued", R"("gw":"gw-0")");
+  sent(100, "a", "lookup");
+  write("clients", 7100, "gave_up", R"("id":"a")");
+  lookup(9500, "b");
+  const auto a = result();
+  EXPECT_TRUE(a.kept()) << report(a);
+}
+
+TEST_F(AuditTest, AClientThatGivesUpAfterItsRouterWentOnWasForgotten) {
+  write("day", 50, "gateway_stopped", R"("gw":"gw-0")");
+  write("day", 4000, "gateway_continued", R"("gw":"gw-0")");
+  sent(100, "a", "lookup");
+  write("clients", 7100, "gave_up", R"("id":"a")");
+  expect_broken(1, "no final answer at all");
+}
+
 TEST_F(AuditTest, AnAnswerLongAfterTheLastStallIsLate) {
   write("day", 50, "gateway_stopped", R"("gw":"gw-0")");
   write("day", 4000, "gateway_continued", R"("gw":"gw-0")");
