--- a/src/explore/worlds.cpp
+++ b/src/explore/worlds.cpp
@@ -174,6 +174,19 @@
                    .failures = 1,
                    .passes = 3,
                    .more = "allow: {second_copies: true}\n"});
+  plans.push_back({.name = "no-copies",
+                   .about = "the same where second copies are off",
+                   .engines = 2,
+                   .clients = {{{.id = "q1", .cls = "lookup"}}},
+                   .failures = 1,
+                   .passes = 3});
+  plans.push_back({.name = "third-copy",
+                   .about = "second copies, three engines, nobody answers for long: never three out",
+                   .engines = 3,
+                   .clients = {{{.id = "q1", .cls = "lookup"}}},
+                   .passes = 6,
+                   .hangs = 2,
+                   .more = "allow: {second_copies: true}\n"});
   plans.push_back({.name = "probe",
                    .about = "engines are asked for their load; answers late, lost or in error",
                    .engines = 2,
