--- a/src/emulator/carrier.cpp
+++ b/src/emulator/carrier.cpp
@@ -143,7 +143,7 @@
   const auto call = std::make_shared<Call>(*this, number, attempt, *engine);
   calls_.emplace(number, call);
   path::step(attempt->state, path::TryEvent::write);
-  attempt->sent = network_.loop().now();
+  attempt->sent = shard_->now();
   call->go(config_.name);
 }
 
--- a/src/emulator/gateway.cpp
+++ b/src/emulator/gateway.cpp
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <cmath>
 #include <utility>
 
 #include "emulator/carrier.hpp"
@@ -12,9 +13,29 @@
 
 using namespace std::chrono_literals;
 constexpr Time kMeasure = 500ms;  // as the daemon's
+constexpr Time kAhead =
+    7s;  // of one router's steady clock against the one before: they are no one's but theirs
 
 }  // namespace
 
+Time Clocks::now() const {
+  const auto passed = loop_.now() - from_;
+  if (rate_ == 1) return own_ + passed;
+  return own_ + Time(static_cast<std::int64_t>(std::floor(static_cast<double>(passed.count()) * rate_)));
+}
+
+Time Clocks::moment(Time own) const {
+  if (rate_ == 1 || own <= own_) return from_ + std::min(own - own_, Time::max() - from_);
+  return from_ +
+         Time(static_cast<std::int64_t>(std::ceil(static_cast<double>((own - own_).count()) / rate_)));
+}
+
+void Clocks::run(double rate) {
+  own_ = now();
+  from_ = loop_.now();
+  rate_ = rate;
+}
+
 class Gateway::ShardWorld final : public path::World {
  public:
   ShardWorld(Gateway& gateway, std::uint64_t seed) : gateway_(gateway), random_(seed) {
@@ -32,16 +53,18 @@
   void call_off(const path::AttemptPtr& attempt) override {
     if (carrier_) carrier_->call_off(attempt);
   }
-  Time now() override { return gateway_.process_.loop().now(); }
+  Time now() override { return gateway_.clocks_.now(); }
   std::uint64_t drawn() override { return random_(); }
   void draw(std::span<unsigned char> bytes) override {
     for (auto& byte : bytes) byte = static_cast<unsigned char>(random_());
   }
   path::WirePtr dial(const config::Address& address) override {
-    return gateway_.around_.network.dial(gateway_.process_, address.port);
+    return gateway_.around_.network.dial(gateway_.process_, address.port, true);
   }
   path::TimerPtr timer(std::function<void()> then) override;
-  void defer(std::function<void()> then) override { gateway_.process_.at(now(), std::move(then)); }
+  void defer(std::function<void()> then) override {
+    gateway_.process_.at(gateway_.process_.loop().now(), std::move(then));
+  }
   void tell(path::Told what) override;
   void log(path::Level, std::string) override {}
 
@@ -55,42 +78,53 @@
 
 struct Gateway::ShardWorld::Moment {
   std::function<void()> then;
+  Time when{};
   std::uint64_t set = 0;  // times
   bool due = false;
 };
 
 class Gateway::ShardWorld::EmulatedTimer final : public path::Timer {
  public:
-  EmulatedTimer(Process& process, std::function<void()> then)
-      : process_(process), moment_(std::make_shared<Moment>()) {
+  EmulatedTimer(Gateway& gateway, std::function<void()> then)
+      : gateway_(gateway), moment_(std::make_shared<Moment>()) {
     moment_->then = std::move(then);
   }
   ~EmulatedTimer() override { moment_->due = false; }
   void set(Time when) override {
     moment_->due = true;
-    process_.at(when, [weak = std::weak_ptr(moment_), set = ++moment_->set] {
+    moment_->when = when;
+    wait(gateway_, moment_, ++moment_->set);
+  }
+  void cancel() override { moment_->due = false; }
+
+ private:
+  // A clock that was slowed meanwhile does not show the moment yet.
+  static void wait(Gateway& gateway, const std::weak_ptr<Moment>& weak, std::uint64_t set) {
+    const auto waited = weak.lock();
+    gateway.process_.at(gateway.clocks_.moment(waited->when), [&gateway, weak, set] {
       const auto moment = weak.lock();
       if (!moment || !moment->due || moment->set != set) return;
+      if (gateway.clocks_.now() < moment->when) return wait(gateway, weak, set);
       moment->due = false;
       moment->then();
     });
   }
-  void cancel() override { moment_->due = false; }
-
- private:
-  Process& process_;
+  Gateway& gateway_;
   std::shared_ptr<Moment> moment_;
 };
 
 path::TimerPtr Gateway::ShardWorld::timer(std::function<void()> then) {
-  return std::make_unique<EmulatedTimer>(gateway_.process_, std::move(then));
+  return std::make_unique<EmulatedTimer>(gateway_, std::move(then));
 }
 
 class Gateway::Strands final : public path::StrandWorld {
  public:
   explicit Strands(Gateway& gateway) : gateway_(gateway) {}
-  Time now() override { return gateway_.process_.loop().now(); }
-  Time unix_offset() override { return gateway_.around_.unix_offset; }
+  Time now() override { return gateway_.clocks_.now(); }
+  Time unix_offset() override {
+    const auto& clocks = gateway_.clocks_;
+    return gateway_.around_.unix_offset + clocks.stepped + gateway_.process_.loop().now() - clocks.now();
+  }
   void order(std::size_t shard, std::vector<path::Order>& orders) override;
   void tell_peers(const router::TellPeers& tell) override;
   void log(path::Level, std::string) override {}
@@ -110,7 +144,7 @@
         strand(decider_of(of.around_.policy, strands, of.config_, metrics, of.config_.seed.value_or(1),
                           of.config_.threads)),
         orders(of.config_.threads) {
-    if (of.schema_) graphql.emplace(of.config_, of.schema_, [&of] { return of.process_.loop().now(); });
+    if (of.schema_) graphql.emplace(of.config_, of.schema_, [&of] { return of.clocks_.now(); });
     for (unsigned i = 0; i < of.config_.threads; ++i) {
       worlds.push_back(std::make_unique<ShardWorld>(of, of.config_.seed.value_or(1) * 64 + i));
       shards.push_back(std::make_unique<path::Shard>(*worlds[i], of.config_, metrics, front, tracer, i,
@@ -134,7 +168,7 @@
     const auto due = strand->next_due();
     if (due == armed || due == Time::max()) return;
     armed = due;
-    gateway.process_.at(due, [this, due] {
+    gateway.process_.at(gateway.clocks_.moment(due), [this, due] {
       if (armed != due) return;
       armed = Time::max();
       strand->run();
@@ -228,7 +262,7 @@
   for (auto& order : orders) waiting.push_back(std::move(order));
   orders.clear();
   if (!idle) return;
-  gateway_.process_.at(now(), [&life, shard] {
+  gateway_.process_.at(gateway_.process_.loop().now(), [&life, shard] {
     auto batch = std::exchange(life.orders[shard], {});
     life.shards[shard]->carry_out(batch);
   });
@@ -239,7 +273,7 @@
   for (const auto& other : gateway_.around_.all) {
     if (other->number() == me || (tell.to && *tell.to != other->number())) continue;
     gateway_.around_.network.datagram(other->process(), [to = other.get(), me, bytes = tell.bytes] {
-      to->life_->tell({to->process_.loop().now(), path::PeerCame{me, bytes}});
+      to->life_->tell({to->clocks_.now(), path::PeerCame{me, bytes}});
     });
   }
 }
@@ -250,7 +284,8 @@
       config_(std::move(config)),
       schema_(std::move(schema)),
       port_(port),
-      process_(around.network.loop()) {}
+      process_(around.network.loop()),
+      clocks_(around.network.loop(), kAhead * config_.module.me) {}
 
 Gateway::~Gateway() { kill(); }
 
@@ -307,7 +342,7 @@
       nullptr);
 }
 
-void Gateway::listed(path::Listed listed) { life_->tell({process_.loop().now(), std::move(listed)}); }
+void Gateway::listed(path::Listed listed) { life_->tell({clocks_.now(), std::move(listed)}); }
 
 void Gateway::reload_groups(const std::string& text) {
   process_.run([this, text] {
--- a/src/emulator/gateway.hpp
+++ b/src/emulator/gateway.hpp
@@ -29,6 +29,21 @@
   std::uint64_t number_ = 0;  // at its router
 };
 
+// A router's own clocks: a steady one, which may run fast or slow, and Unix time, which may step.
+class Clocks {
+ public:
+  explicit Clocks(Loop& loop, Time ahead) : loop_(loop), from_(loop.now()), own_(from_ + ahead) {}
+  [[nodiscard]] Time now() const;
+  [[nodiscard]] Time moment(Time own) const;  // of the loop, at which now() is that
+  void run(double rate);                      // own seconds a second
+  Time stepped{};                             // Unix time, ahead of what it should be
+
+ private:
+  Loop& loop_;
+  Time from_, own_;
+  double rate_ = 1;
+};
+
 class Gateway {
  public:
   struct Surroundings {
@@ -47,6 +62,7 @@
   void begin();
   void kill();
   Process& process() { return process_; }
+  Clocks& clocks() { return clocks_; }
   [[nodiscard]] std::uint32_t number() const { return config_.module.me; }
   [[nodiscard]] const config::Config& config() const { return config_; }
   // A request as a message, in the fast fidelity: the JSON body of /v1/query and its time-out, if any.
@@ -71,6 +87,7 @@
   std::shared_ptr<const graphql::Bound> schema_;
   std::uint16_t port_;
   Process process_;
+  Clocks clocks_;
   std::function<void()> ready_;
   std::uint64_t asked_ = 0;
   std::unique_ptr<Life> life_;
--- a/src/emulator/network.cpp
+++ b/src/emulator/network.cpp
@@ -5,6 +5,11 @@
 #include <utility>
 
 namespace heronwell::emulator {
+namespace {
+
+constexpr Time kSentAgain = std::chrono::milliseconds(200);  // a kernel's least pause before it sends again
+
+}  // namespace
 
 Time Network::way() {
   const auto more = settings_.jitter.count();
@@ -13,6 +18,10 @@
                                      : Time::zero());
 }
 
+std::size_t Network::draw(std::size_t most) {
+  return static_cast<std::size_t>(random_(static_cast<std::uint64_t>(most) + 1));
+}
+
 bool Network::chance(double part) { return part > 0 && std::generate_canonical<double, 32>(random_) < part; }
 
 void Network::listen(std::uint16_t port, Process& process, Accept accept) {
@@ -20,8 +29,9 @@
 }
 
 // The kernel of the other side accepts, also for a process that is stopped.
-EndPtr Network::dial(Process& from, std::uint16_t port) {
+EndPtr Network::dial(Process& from, std::uint16_t port, bool lossy) {
   auto mine = std::make_shared<End>(*this, from);
+  mine->lossy_ = lossy;
   mine->connecting_ = true;
   const auto refused = [weak = std::weak_ptr(mine)] {
     if (const auto end = weak.lock()) end->reset_arrives();
@@ -33,6 +43,7 @@
     const bool open = found != listeners_.end() && found->second.process->alive();
     if (!open || chance(settings_.refused)) return loop_.after(way(), refused);
     auto other = std::make_shared<End>(*this, *found->second.process);
+    other->lossy_ = end->lossy_;
     other->join(end);
     end->join(other);
     found->second.process->run([accept = found->second.accept, other] { accept(other); });
@@ -78,7 +89,9 @@
 }
 
 Time End::arrival() {
-  last_ = std::max(last_, network_.loop().now() + network_.way());
+  auto way = network_.way();
+  if (lossy_ && network_.chance(network_.settings().lost)) way += kSentAgain;
+  last_ = std::max(last_, network_.loop().now() + way);
   return last_;
 }
 
@@ -100,6 +113,8 @@
   const auto size = bytes.size();
   if (size == 0) return 0;
   out_ += size;
+  const bool cut = lossy_ && network_.chance(network_.settings().cut);
+  if (cut) bytes.resize(network_.draw(size - 1));
   network_.loop().at(arrival(), [weak = weak_from_this(), peer = peer_, bytes = std::move(bytes)] {
     if (const auto other = peer.lock(); other && other->lives()) return other->arrive(bytes);
     // Nobody is there: its kernel answers with a reset.
@@ -108,6 +123,12 @@
         if (const auto end = weak.lock()) end->reset_arrives();
       });
   });
+  if (cut) {  // both sides learn of it, each after its way
+    send(&End::reset_arrives);
+    network_.loop().at(last_, [weak = weak_from_this()] {
+      if (const auto self = weak.lock()) self->reset_arrives();
+    });
+  }
   return size;
 }
 
--- a/src/emulator/network.hpp
+++ b/src/emulator/network.hpp
@@ -19,7 +19,8 @@
   Time jitter{};                               // up to so much more, drawn for each piece
   std::size_t window = 256 << 10;              // bytes under way or unread, each way
   double refused = 0;                          // chance that a dial fails
-  double lost = 0;                             // chance that a datagram is lost
+  double lost = 0;  // chance that a datagram is lost; that a piece of a lossy connection comes 200 ms later
+  double cut = 0;   // chance that a piece of a lossy connection is cut at some byte, and it is reset
   // The fast fidelity: requests and statements are messages, no bytes of HTTP or of the engines' protocol and
   // no connections. Each takes one delay; none is lost but with a process that dies.
   bool messages = false;
@@ -38,7 +39,7 @@
   using Accept = std::function<void(EndPtr)>;
   void listen(std::uint16_t port, Process& process, Accept accept);
   void close(std::uint16_t port) { listeners_.erase(port); }
-  EndPtr dial(Process& from, std::uint16_t port);
+  EndPtr dial(Process& from, std::uint16_t port, bool lossy = false);
   // A message: `arrived` happens at the other process; `lost`, anywhere, if that was dead by then or dies
   // stopped, before it has read it.
   void message(Process& to, std::function<void()> arrived, std::function<void()> lost);
@@ -47,6 +48,7 @@
 
   [[nodiscard]] Time way();  // of the next piece
   [[nodiscard]] bool chance(double part);
+  [[nodiscard]] std::size_t draw(std::size_t most);  // 0 to most
 
  private:
   struct Listener {
@@ -93,6 +95,7 @@
   std::uint64_t life_;
   std::weak_ptr<End> peer_;
   std::weak_ptr<path::WireUser> user_;
+  bool lossy_ = false;
   bool connecting_ = false, reading_ = false, closed_ = false, shut_ = false;
   bool ended_ = false, reset_ = false, told_ = false;  // of the other end; told: to the user
   bool room_wanted_ = false, stirred_ = false;
--- a/src/emulator/play.cpp
+++ b/src/emulator/play.cpp
@@ -196,6 +196,15 @@
     gateways_[i]->on_ready([this, i] { record("gateway_ready", "gw", i); });
     gateways_[i]->begin();
   }
+  void drift_gateway(unsigned i, double rate) override {
+    gateways_[i]->clocks().run(rate);
+    recorder_.write(loop_.now(), "clock_runs", fmt::format(R"("gw":"gw-{}","rate":{})", i, rate));
+  }
+  void step_gateway(unsigned i, Time ahead) override {
+    gateways_[i]->clocks().stepped = ahead;
+    recorder_.write(loop_.now(), "clock_stepped",
+                    fmt::format(R"("gw":"gw-{}","ms":{})", i, milliseconds(ahead)));
+  }
   void groups(const std::string& plan) override {
     for (const auto& [name, text] : day_.group_plans)
       if (name == plan)
@@ -225,6 +234,7 @@
   network.jitter = day.wires.jitter;
   network.refused = day.wires.refused;
   network.lost = day.wires.lost;
+  network.cut = day.wires.cut;
   network.messages = messages;
   return network;
 }
--- a/src/emulator/swarm.cpp
+++ b/src/emulator/swarm.cpp
@@ -53,6 +53,10 @@
       return {0.2, 0.9};
     case hang_ups:
       return {0.05, 0.4};
+    case clock_drift:
+      return {10, 500};
+    case clock_step:
+      return {10, 100'000};
     case heavy:
       return {0.005,
               0.03};  // the bench's; more of it, without estimates, tips cold engines (docs/emulator.md)
@@ -75,7 +79,8 @@
   const auto [least, most] = sizes(kind);
   trouble["size"] = fmt::format("{:.3f}", dice.part(least, most));
   const bool of_gateways = kind == TroubleKind::gateway_stop || kind == TroubleKind::gateway_kill ||
-                           kind == TroubleKind::busy_gateway;
+                           kind == TroubleKind::busy_gateway || kind == TroubleKind::clock_drift ||
+                           kind == TroubleKind::clock_step;
   const unsigned many = of_gateways ? gateways : kind <= TroubleKind::loads_late ? engines : 0;
   if (many == 0) return trouble;
   const bool all = dice.whole(0, 7) == 0;
@@ -126,7 +131,12 @@
   auto network = day["network"];
   network["delay"] = fmt::format("{}us", dice.whole(20, 2000));
   network["jitter"] = fmt::format("{}us", dice.whole(0, 3) == 0 ? dice.whole(100, 5000) : 0);
-  network["lost"] = dice.whole(0, 3) == 0 ? 0.2 : 0.0;
+  network["lost"] = dice.whole(0, 3) == 0 ? dice.part(0.001, 0.05) : 0.0;
+  network["cut"] = dice.whole(0, 3) == 0 ? dice.part(0.001, 0.02) : 0.0;
+  for (auto load : day["clients"]["classes"]) {
+    load.second["rate"] = fmt::format("{:.2f}", load.second["rate"].as<double>() * dice.part(0.4, 1.5));
+    load.second["work_ms"] = fmt::format("{:.2f}", load.second["work_ms"].as<double>() * dice.part(0.5, 2));
+  }
   day["troubles"] = YAML::Node(YAML::NodeType::Sequence);
   for (unsigned left = dice.whole(1, 8); left > 0; --left) {
     const auto trouble = draw_trouble(dice, gateways, engines, length_ms);
--- a/src/rehearsal/day.cpp
+++ b/src/rehearsal/day.cpp
@@ -294,6 +294,11 @@
     throw yaml::Error(
         fmt::format("{}:1:1: gateways.count: at most {} as real processes; more can be emulated", day.file,
                     kMostProcesses));
+  for (const auto& trouble : day.troubles)
+    if (trouble.kind == TroubleKind::clock_drift || trouble.kind == TroubleKind::clock_step)
+      throw yaml::Error(
+          fmt::format("{}:1:1: troubles: {}: the machine's clocks are not set; it can be emulated", day.file,
+                      name_of(trouble.kind)));
   std::filesystem::create_directories(folder);
   for (const auto& old : std::filesystem::directory_iterator(folder))
     if (old.path().extension() == ".jsonl") std::filesystem::remove(old.path());  // of an earlier run
--- a/src/rehearsal/troubles.cpp
+++ b/src/rehearsal/troubles.cpp
@@ -117,6 +117,20 @@
       case gateway_kill:
         strike(&Actors::kill_gateway, &Actors::start_gateway);
         break;
+      case clock_drift:
+        for (std::size_t n = 0; n < t.targets.size(); ++n) {
+          const auto i = t.targets[n];
+          at(begin,
+             [&, i, rate = 1 + (n % 2 == 0 ? 1e-6 : -1e-6) * t.size] { actors.drift_gateway(i, rate); });
+          at(over, [&, i] { actors.drift_gateway(i, 1); });
+        }
+        break;
+      case clock_step:
+        for (const auto i : t.targets) {
+          at(begin, [&, i] { actors.step_gateway(i, Time(static_cast<std::int64_t>(t.size * 1e6))); });
+          at(over, [&, i] { actors.step_gateway(i, Time::zero()); });
+        }
+        break;
       case groups_change:
         at(begin, [&] { actors.groups(t.plan); });
         at(over, [&] { actors.groups(day.group_plans.front().first); });
--- a/src/rehearsal/troubles.hpp
+++ b/src/rehearsal/troubles.hpp
@@ -27,6 +27,9 @@
   virtual void kill_gateway(unsigned gateway) = 0;
   virtual void start_gateway(unsigned gateway) = 0;  // again
   virtual void groups(const std::string& plan) = 0;
+  // Where clocks can be set at all.
+  virtual void drift_gateway(unsigned gateway, double rate) { (void)gateway, (void)rate; }
+  virtual void step_gateway(unsigned gateway, Time ahead) { (void)gateway, (void)ahead; }
 };
 
 // By the time from the day's start. `day` and `actors` outlive it. What is the clients' own (bursts, floods,
--- a/tests/rehearsal/audit_test.cpp
+++ b/tests/rehearsal/audit_test.cpp
@@ -163,6 +163,19 @@
   expect_broken(1, "no final answer at all");
 }
 
+TEST_F(AuditTest, TwoAttemptsOnOneEngineAreToldApartByTheirConnections) {
+  sent(100, "a", "lookup");
+  at(110, 0, "read", "a");
+  began(110, 0, "a");
+  write("engine-0", 300, "read", R"("id":"a","gw":"gw-0","conn":2)");
+  write("engine-0", 302, "dropped", R"("id":"a","gw":"gw-0","conn":1)");
+  write("engine-0", 400, "done", R"("id":"a","gw":"gw-0","conn":2)");
+  write("engine-0", 400, "sent", R"("id":"a","gw":"gw-0","conn":2)");
+  answered(401, "a");
+  const auto a = result();
+  EXPECT_EQ(a.broken[1], 0U) << report(a);
+}
+
 TEST_F(AuditTest, AnAnswerLongAfterTheLastStallIsLate) {
   write("day", 50, "gateway_stopped", R"("gw":"gw-0")");
   write("day", 4000, "gateway_continued", R"("gw":"gw-0")");
