Traces: the room chooses what is kept, the daemon writes the file

trace/tracer opened files and had a thread, in a room that should do no I/O; an emulated or explored router with traces on would have written one. The tracer now hands kept trails to a sink, daemon/trace_file writes them.

--- a/src/daemon/server.cpp
+++ b/src/daemon/server.cpp
@@ -12,6 +12,7 @@
 #include <thread>
 
 #include "daemon/decisions.hpp"
+#include "daemon/trace_file.hpp"
 #include "path/graphql.hpp"
 
 namespace heronwell::daemon {
@@ -51,7 +52,8 @@
       : config(std::move(given)),
         metrics(router::class_names(config.module)),
         front(config.module),
-        tracer(config.trace, config.name, HERONWELL_VERSION, unix_offset()) {
+        trace_file(TraceFile::of(config.trace, config.name, HERONWELL_VERSION, unix_offset())),
+        tracer(TraceFile::tracer(config.trace, trace_file.get())) {
     for (unsigned i = 0; i < config.threads; ++i)
       threads.push_back(std::make_unique<Thread>(config, metrics, front, tracer, i));
     auto& first = threads.front()->context();
@@ -113,6 +115,7 @@
   config::Config config;
   path::Metrics metrics;
   router::Front front;
+  std::unique_ptr<TraceFile> trace_file;
   trace::Tracer tracer;
   std::optional<path::Graphql> graphql;
   std::vector<std::unique_ptr<Thread>> threads;
--- a/src/emulator/gateway.cpp
+++ b/src/emulator/gateway.cpp
@@ -139,7 +139,7 @@
       : gateway(of),
         metrics(router::class_names(of.config_.module)),
         front(of.config_.module),
-        tracer(of.config_.trace, of.config_.name, "", of.around_.unix_offset),
+        tracer(of.config_.trace, nullptr),
         strands(of),
         strand(decider_of(of.around_.policy, strands, of.config_, metrics, of.config_.seed.value_or(1),
                           of.config_.threads)),
--- a/src/explore/world.cpp
+++ b/src/explore/world.cpp
@@ -115,7 +115,7 @@
       config(read(given)),
       metrics(router::class_names(config.module)),
       front(config.module),
-      tracer(config.trace, config.name, "", Time::zero()),
+      tracer(config.trace, nullptr),
       bound(path::bind_schema(config, kSchema, "explore")) {}
 
 // ---- wires ---------------------------------------------------------------------------------------------
--- a/src/rehearsal/plan.cpp
+++ b/src/rehearsal/plan.cpp
@@ -183,10 +183,14 @@
 }
 }  // namespace
 
-Day read_day(const std::string& path) { return read(yaml::Section::file(path), YAML::LoadFile(path), path); }
+Day read_day(const std::string& path) {
+  auto file = yaml::Section::file(path);  // its errors have places
+  return read(std::move(file), YAML::LoadFile(path), path);
+}
 
 Day read_day_text(const std::string& text, const std::string& name) {
-  return read(yaml::Section::text(text, name), YAML::Load(text), name);
+  auto file = yaml::Section::text(text, name);
+  return read(std::move(file), YAML::Load(text), name);
 }
 
 std::uint16_t zone_of(const Day& day, unsigned engine) {
--- a/src/trace/tracer.cpp
+++ b/src/trace/tracer.cpp
@@ -1,43 +1,7 @@
 #include "trace/tracer.hpp"
 
-#include <fcntl.h>
-#include <sys/stat.h>
-#include <unistd.h>
-
-#include <cerrno>
-#include <cstdio>
-#include <system_error>
-
 namespace heronwell::trace {
 
-Tracer::Tracer(Options options, std::string gateway, std::string version, Time unix_offset)
-    : options_(std::move(options)),
-      gateway_(std::move(gateway)),
-      version_(std::move(version)),
-      offset_(unix_offset) {
-  if (!on()) return;
-  open();
-  thread_ = std::thread([this] { write(); });
-}
-
-Tracer::~Tracer() {
-  if (!on()) return;
-  {
-    const std::lock_guard lock(mutex_);
-    over_ = true;
-  }
-  ready_.notify_one();
-  thread_.join();
-  ::close(file_);
-}
-
-void Tracer::open() {
-  file_ = ::open(options_.file.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
-  if (file_ < 0) throw std::system_error(errno, std::generic_category(), options_.file);
-  struct stat now {};
-  bytes_ = ::fstat(file_, &now) == 0 ? static_cast<std::uint64_t>(now.st_size) : 0;
-}
-
 TrailPtr Tracer::begin(std::string_view traceparent, std::uint64_t high, std::uint64_t low) const {
   if (!on()) return nullptr;
   auto context = read_traceparent(traceparent);
@@ -52,52 +16,8 @@
   return trail;
 }
 
-void Tracer::finish(const TrailPtr& trail) {
-  if (!trail->context.sampled && !(trail->trouble && options_.keep_trouble)) return;
-  {
-    const std::lock_guard lock(mutex_);
-    if (waiting_.size() >= options_.queue) {
-      ++dropped_;
-      return;
-    }
-    waiting_.push_back(trail);
-    if (waiting_.size() > 1) return;  // the writer is awake, or was called
-  }
-  ready_.notify_one();
-}
-
-void Tracer::write() {
-  std::deque<TrailPtr> taken;
-  std::unique_lock lock(mutex_);
-  while (true) {
-    ready_.wait(lock, [this] { return over_ || !waiting_.empty(); });
-    taken.swap(waiting_);
-    const bool last = over_;
-    lock.unlock();
-    std::string out;
-    for (const auto& trail : taken) out += otlp_line(*trail, gateway_, version_, offset_);
-    if (bytes_ > 0 && bytes_ + out.size() > options_.file_bytes) {
-      ::close(file_);
-      std::rename(options_.file.c_str(), (options_.file + ".1").c_str());
-      try {
-        open();
-      } catch (const std::system_error&) {
-        file_ = -1;
-      }
-    }
-    std::size_t done = 0;
-    while (file_ >= 0 && done < out.size()) {
-      const auto wrote = ::write(file_, out.data() + done, out.size() - done);
-      if (wrote < 0 && errno == EINTR) continue;
-      if (wrote <= 0) break;
-      done += static_cast<std::size_t>(wrote);
-    }
-    (done == out.size() ? written_ : dropped_) += taken.size();
-    bytes_ += done;
-    taken.clear();
-    lock.lock();
-    if (last && waiting_.empty()) return;
-  }
+void Tracer::finish(const TrailPtr& trail) const {
+  if (trail->context.sampled || (trail->trouble && options_.keep_trouble)) sink_(trail);
 }
 
 }  // namespace heronwell::trace
--- a/src/trace/tracer.hpp
+++ b/src/trace/tracer.hpp
@@ -1,13 +1,9 @@
-// Begins trails, chooses which are kept and writes them to a file on a thread of its own. What the queue or
-// the file has no room for is dropped and counted: requests never wait for it.
+// Begins trails and chooses which are kept. Where they are kept is the sink's business: the daemon's writes a
+// file (daemon/trace_file.hpp). No I/O and no clock.
 #pragma once
 
-#include <atomic>
-#include <condition_variable>
-#include <deque>
-#include <mutex>
+#include <functional>
 #include <string>
-#include <thread>
 
 #include "trace/trail.hpp"
 
@@ -24,35 +20,21 @@
 
 class Tracer {
  public:
-  // `unix_offset`: Unix time less the clock of the spans. Throws std::system_error where the file can't be
-  // opened.
-  Tracer(Options options, std::string gateway, std::string version, Time unix_offset);
-  ~Tracer();  // writes what is waiting
+  // Called by any thread, for each trail that is kept, when it is finished.
+  using Sink = std::function<void(const TrailPtr&)>;
+  // Without a sink it is off.
+  Tracer(Options options, Sink sink) : options_(std::move(options)), sink_(std::move(sink)) {}
 
-  [[nodiscard]] bool on() const { return !options_.file.empty(); }
+  [[nodiscard]] bool on() const { return sink_ != nullptr; }
   [[nodiscard]] const Options& options() const { return options_; }
   // Null: nothing of this request can be kept. `traceparent`: as it came, or empty.
-  TrailPtr begin(std::string_view traceparent, std::uint64_t drawn_high, std::uint64_t drawn_low) const;
-  void finish(const TrailPtr& trail);
-
-  [[nodiscard]] std::uint64_t written() const { return written_; }
-  [[nodiscard]] std::uint64_t dropped() const { return dropped_; }
+  [[nodiscard]] TrailPtr begin(std::string_view traceparent, std::uint64_t drawn_high,
+                               std::uint64_t drawn_low) const;
+  void finish(const TrailPtr& trail) const;
 
  private:
-  void write();
-  void open();
-
   Options options_;
-  std::string gateway_, version_;
-  Time offset_{};
-  int file_ = -1;
-  std::uint64_t bytes_ = 0;
-  std::atomic<std::uint64_t> written_{0}, dropped_{0};
-  std::mutex mutex_;
-  std::condition_variable ready_;
-  std::deque<TrailPtr> waiting_;
-  bool over_ = false;
-  std::thread thread_;
+  Sink sink_;
 };
 
 }  // namespace heronwell::trace
