The platform's protocol serves: frames to clients, calls to engines, the event bus

`heronwell node` is one more way into the same program: Shard, Strand, Host and the module are used as they are.

- src/frames, src/calls, src/bus: the client protocol, the engine's calls on http, the bus's events.
- src/site: the settings reader that was in src/bench, now below both bench and config.
- path: what Shard needs of its two sides became ClientSide and EngineSide; FrameClient and CallConnection stand beside the HTTP client and the PostgreSQL connection.
An attempt that was given up holds its request's next one back until the engine has heard, so that never two are out.
- config: ROUTER_CONFIG into the program's configuration; daemon: the bus, SIGHUP, SIGTERM.

A failed try on the way: ListSource::fetch() handed a coroutine its target by reference and was itself none any more; ASan in the e2e tests saw it.

--- a/src/bench/wire.hpp
+++ b/src/bench/wire.hpp
@@ -4,19 +4,18 @@
 #include <cstddef>
 #include <cstdint>
 #include <span>
-#include <stdexcept>
 #include <string>
 #include <string_view>
 #include <variant>
 #include <vector>
 
 #include "heronwell/gateway.hpp"
+#include "site/settings.hpp"
 
 namespace heronwell::wire {
 
-struct Malformed : std::runtime_error {
-  using std::runtime_error::runtime_error;
-};
+using site::Malformed;
+using site::parse_settings;
 
 struct Start {
   std::uint64_t seed = 0;
@@ -40,7 +39,6 @@
 inline constexpr std::size_t kHeaderBytes = 20;
 inline constexpr std::size_t kMostFrameBytes = std::size_t{1} << 30;
 
-[[nodiscard]] Settings parse_settings(std::string_view json);
 [[nodiscard]] std::size_t frame_length(std::span<const std::uint8_t> first_bytes);
 
 // Reads batches; keeps the numbered engine lists, which belong to no instance.
--- /dev/null
+++ b/src/calls/calls.cpp
@@ -0,0 +1,193 @@
+#include "calls/calls.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <iterator>
+#include <utility>
+
+namespace heronwell::calls {
+namespace {
+
+std::optional<double> figure(std::string_view text) {
+  double value = 0;
+  const auto* end = text.data() + text.size();
+  const auto read = std::from_chars(text.data(), end, value);
+  if (text.empty() || read.ec != std::errc() || read.ptr != end || !(value >= 0) || value > 1e12)
+    return std::nullopt;
+  return value;
+}
+
+std::optional<unsigned> count(const http::Parser& answer, std::string_view name) {
+  const auto field = answer.find(name);
+  if (!field) return std::nullopt;
+  unsigned value = 0;
+  const auto* end = field->data() + field->size();
+  const auto read = std::from_chars(field->data(), end, value);
+  if (field->empty() || read.ec != std::errc() || read.ptr != end) return std::nullopt;
+  return value;
+}
+
+bool no_effect(const http::Parser& answer) { return answer.find("x-no-effect").value_or("") == "1"; }
+
+// As settings and reports name them; the settings may have words of their own.
+std::optional<LoadField> field_named(std::string_view name) {
+  struct Name {
+    std::string_view text;
+    LoadField field;
+  };
+  using enum LoadField;
+  constexpr std::array names{
+      Name{"inflight", inflight},     Name{"busy_reqs", inflight}, Name{"queue", queue},
+      Name{"pending", queue},         Name{"util", util},          Name{"cpu_share", util},
+      Name{"latency_ms", latency_ms}, Name{"svc_ms", latency_ms},  Name{"qps", served},
+      Name{"served_ps", served},      Name{"eps", failed},         Name{"failed_ps", failed},
+      Name{"x0", memory_share},       Name{"x1", disk_share}};
+  const auto found = std::ranges::find(names, name, &Name::text);
+  if (found == names.end()) return std::nullopt;
+  return found->field;
+}
+
+void put_get(std::string& out, std::string_view method, std::string_view host, std::string_view id,
+             std::string_view page) {
+  fmt::format_to(std::back_inserter(out), "{} /x/{}{} HTTP/1.1\r\nHost: {}\r\n\r\n", method, id, page, host);
+}
+
+}  // namespace
+
+void put_start(std::string& out, std::string_view host, const Query& query, std::int64_t budget_ms,
+               double memory_mb, std::string_view statement) {
+  auto to = std::back_inserter(out);
+  fmt::format_to(to, "POST /x HTTP/1.1\r\nHost: {}\r\nX-Hop-Id: {}\r\nX-Sort: {}\r\nX-Budget: {}\r\n", host,
+                 query.id, query.cls, budget_ms);
+  if (memory_mb > 0)
+    fmt::format_to(to, "X-Mem-Limit: {}\r\n",
+                   std::max<std::int64_t>(1, static_cast<std::int64_t>(memory_mb + 0.5)));
+  fmt::format_to(to, "Content-Length: {}\r\n\r\n", statement.size());
+  out.append(statement);
+}
+
+void put_news(std::string& out, std::string_view host, std::string_view id) {
+  put_get(out, "GET", host, id, "/0");
+}
+
+void put_page(std::string& out, std::string_view host, std::string_view id, unsigned page) {
+  put_get(out, "GET", host, id, fmt::format("/{}", page));
+}
+
+void put_delete(std::string& out, std::string_view host, std::string_view id) {
+  put_get(out, "DELETE", host, id, "");
+}
+
+void put_probe(std::string& out, std::string_view host, bool with_load) {
+  fmt::format_to(std::back_inserter(out), "GET /{} HTTP/1.1\r\nHost: {}\r\n\r\n", with_load ? "busy" : "ping",
+                 host);
+}
+
+Result judge(Seen seen) {
+  switch (seen) {
+    case Seen::not_dialled:
+      return Result::not_connected;
+    case Seen::not_written:
+      return Result::moot;
+    case Seen::broken:
+      return Result::reset;
+    case Seen::full:
+      return Result::turned_away;
+    case Seen::too_late:
+      return Result::moot;
+    case Seen::error:
+      return Result::error;
+    case Seen::complete:
+      return Result::served;
+    case Seen::stopped:
+      return Result::called_off;
+    case Seen::until_passed:
+      return Result::timed_out;
+  }
+  return Result::reset;
+}
+
+bool proves_unrun(Result result) {
+  return result == Result::turned_away || result == Result::not_connected || result == Result::moot;
+}
+
+News read_news(const http::Parser& answer, std::string_view body) {
+  using What = News::What;
+  News news;
+  switch (answer.status()) {
+    case 200: {
+      const auto pages = count(answer, "x-parts");
+      if (!pages || *pages < 1 || *pages > kMostPages || answer.find("x-part-no") ||
+          !answer.content_length() || !sound_rows(body))
+        return news;
+      news.what = What::whole;
+      news.pages = *pages;
+      return news;
+    }
+    case 202: {
+      news.what = What::pending;
+      const auto tell = answer.find("x-tell");
+      const auto amount = figure(answer.find("x-amount").value_or(""));
+      if (!tell || !amount) return news;
+      news.amount = *amount;
+      if (*tell == "progress") news.note = NoteKind::progress;
+      if (*tell == "spill_mb") news.note = NoteKind::spill;
+      if (*tell == "blocked") news.note = NoteKind::waiting;
+      return news;
+    }
+    case 500:
+      news.what = What::end;
+      return news;
+    case 503:
+    case 504:
+      news.what = What::end;
+      if (no_effect(answer)) news.seen = answer.status() == 503 ? Seen::full : Seen::too_late;
+      return news;
+    default:
+      return news;
+  }
+}
+
+bool is_page(const http::Parser& answer, std::string_view body, unsigned page) {
+  return answer.status() == 200 && count(answer, "x-part-no") == page && answer.content_length() &&
+         sound_rows(body);
+}
+
+bool sound_rows(std::string_view body) {
+  if (body.size() > kPageBytes || (!body.empty() && body.back() != '\n')) return false;
+  unsigned tabs = 0;
+  for (const char c : body) {
+    if (c == '\t') ++tabs;
+    if (c == '\n' && std::exchange(tabs, 0) != 2) return false;
+  }
+  return true;
+}
+
+std::vector<double> read_report(const http::Parser& answer, const std::vector<LoadField>& fields) {
+  const auto report = answer.find("x-report");
+  if (!report || fields.empty()) return {};
+  std::vector<double> out(fields.size(), 0);
+  bool any = false;
+  for (auto rest = *report; !rest.empty();) {
+    const auto end = rest.find(';');
+    const auto one = rest.substr(0, end);
+    rest.remove_prefix(end == std::string_view::npos ? rest.size() : end + 1);
+    const auto colon = one.find(':');
+    if (colon == std::string_view::npos) continue;
+    const auto field = field_named(one.substr(0, colon));
+    const auto value = figure(one.substr(colon + 1));
+    if (!field || !value) continue;
+    for (std::size_t i = 0; i < fields.size(); ++i)
+      if (fields[i] == *field) {
+        out[i] = *value;
+        any = true;
+      }
+  }
+  if (!any) out.clear();
+  return out;
+}
+
+}  // namespace heronwell::calls
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -185,6 +185,30 @@
   return kDone;
 }
 
+// A router as the operators' platform starts it: its environment and one JSON file tell it all.
+int node() {
+  const auto variable = [](const char* name) {
+    const char* value = std::getenv(name);
+    if (value == nullptr) throw std::invalid_argument(fmt::format("{}: expected in the environment", name));
+    return std::string(value);
+  };
+  const auto file = variable("ROUTER_CONFIG");
+  std::ifstream stream(file, std::ios::binary);
+  if (!stream) throw std::invalid_argument(fmt::format("ROUTER_CONFIG: cannot read {}", file));
+  const auto config = config::read_platform({std::istreambuf_iterator<char>(stream), {}}, file);
+  const auto at = fmt::format("{}:{}", config.listen.at.host, config.listen.at.port);
+  if (variable("ROUTER_NAME") != config.name)
+    throw std::invalid_argument("ROUTER_NAME: expected " + config.name);
+  if (variable("ROUTER_LISTEN") != at) throw std::invalid_argument("ROUTER_LISTEN: expected " + at);
+  open_log(config.log);
+  daemon::Server server(config);
+  Time longest{};
+  for (const auto& cls : config.module.classes) longest = std::max(longest, cls.give_up);
+  server.run([] {}, longest);
+  spdlog::shutdown();
+  return kDone;
+}
+
 // A list served from a watched YAML file; "late_ms N" and "away 1" are read from standard input.
 int run_list(const std::string& file, std::uint16_t port, const std::string& record) {
   boost::asio::io_context context(1);
@@ -443,6 +467,7 @@
   app.require_subcommand(1);
 
   std::string config_file;
+  auto* noding = app.add_subcommand("node", "Run a router as the operators' platform starts it");
   auto* serving = app.add_subcommand("serve", "Run a router");
   serving->add_option("--config", config_file, "YAML file")->required();
 
@@ -624,6 +649,7 @@
                           text + "\"");
       return *value;
     };
+    if (*noding) return node();
     if (*serving) return serve(config::read_config(yaml::Section::file(config_file)));
     if (*demo) {
       const rehearsal::Demo stand_ins(engines);
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -80,6 +80,15 @@
 
   std::optional<groups::Plan> groups;
 
+  // The operators' platform: frames to clients, calls to engines, an event bus in place of `list`.
+  struct Platform {
+    std::string file;   // the configuration, read again on SIGHUP
+    std::string known;  // the bus's events up to the start
+    Address bus;
+    std::size_t sockets = 0, memory_mb = 0;
+  };
+  std::optional<Platform> platform;
+
   trace::Options trace;
 
   struct Log {
@@ -91,6 +100,9 @@
 
 // Throws yaml::Error: place, field, what was expected. `name` stands for the file in errors.
 Config read_config(yaml::Section file);
+// The configuration that the platform hands a router, as JSON; the fields' names are in
+// docs/operators/platform.md. Throws std::invalid_argument naming the field and what was expected.
+Config read_platform(const std::string& json, const std::string& file);
 std::string effective(const Config& config);  // as YAML that read_config() reads to the same
 
 }  // namespace heronwell::config
--- a/src/daemon/lists.cpp
+++ b/src/daemon/lists.cpp
@@ -32,7 +32,10 @@
 
 void ListSource::start() {
   asio::co_spawn(
-      executor_, [this] { return config_.list.file.empty() ? watch_consul() : watch_file(); },
+      executor_,
+      [this] {
+        return config_.platform ? watch_bus() : config_.list.file.empty() ? watch_consul() : watch_file();
+      },
       asio::detached);
 }
 
@@ -100,12 +103,58 @@
   }
 }
 
+// Long polls. What breaks off or falls silent is asked again at once, on a new connection.
+asio::awaitable<void, Executor> ListSource::watch_bus() {
+  using namespace std::chrono_literals;
+  constexpr Time kHold = 1s, kSlack = 700ms, kLeast = 50ms, kMost = 500ms;
+  bus_ = config_.platform->bus;
+  Time wait = kLeast;
+  if (events_.take(config_.platform->known)) tell_({false, events_.entries()});
+  while (!stopped_) {
+    const auto at = *bus_;
+    std::string failure;
+    try {
+      std::uint64_t unused = 0;
+      const auto body =
+          co_await get(at, fmt::format("/bus/read?from={}&hold={}", events_.offset(), kHold / 1ms),
+                       kHold + kSlack, unused);
+      if (events_.take(body)) tell_({false, events_.entries()});
+    } catch (const std::exception& error) {
+      failure = error.what();
+    }
+    if (stopped_) break;
+    if (failure.empty()) {
+      wait = kLeast;
+      continue;
+    }
+    if (at != *bus_) continue;  // it has moved: the new one is asked at once
+    say("bus_failed", fmt::format("{}:{}: {}", at.host, at.port, failure));
+    co_await pause(wait);
+    wait = std::min(wait * 2, kMost);
+  }
+}
+
+void ListSource::follow(config::Address bus) {
+  if (bus_ == bus) return;
+  bus_ = std::move(bus);
+  boost::system::error_code ignored;
+  if (socket_) socket_->close(ignored);
+  timer_.cancel();
+}
+
 asio::awaitable<std::string, Executor> ListSource::fetch(const config::Address& where, std::uint64_t& index) {
   const auto& list = config_.list;
+  const auto target = index > 0 ? fmt::format("/v1/health/service/{}?index={}&wait={}ms", list.service, index,
+                                              list.wait / std::chrono::milliseconds(1))
+                                : fmt::format("/v1/health/service/{}", list.service);
+  return get(where, target, list.timeout + (index > 0 ? list.wait + list.wait / 16 : Time::zero()), index);
+}
+
+asio::awaitable<std::string, Executor> ListSource::get(const config::Address& where, std::string target,
+                                                       Time limit, std::uint64_t& index) {
   socket_ = std::make_shared<Socket>(executor_);
   const auto socket = socket_;
-  timer_.expires_after(std::chrono::duration_cast<std::chrono::steady_clock::duration>(
-      list.timeout + (index > 0 ? list.wait + list.wait / 16 : Time::zero())));
+  timer_.expires_after(std::chrono::duration_cast<std::chrono::steady_clock::duration>(limit));
   timer_.async_wait([socket](boost::system::error_code aborted) {
     boost::system::error_code ignored;
     if (!aborted) socket->close(ignored);
@@ -113,9 +162,6 @@
   const asio::ip::tcp::endpoint at(asio::ip::make_address(where.host), where.port);
   co_await socket->async_connect(at, kToken);
   std::string request;
-  const auto target = index > 0 ? fmt::format("/v1/health/service/{}?index={}&wait={}ms", list.service, index,
-                                              list.wait / std::chrono::milliseconds(1))
-                                : fmt::format("/v1/health/service/{}", list.service);
   http::put_request(request, "GET", target, where.host, "", {{"x-heronwell-gateway", config_.name}});
   co_await asio::async_write(*socket, asio::buffer(request), kToken);
   http::Limits limits;
--- a/src/daemon/lists.hpp
+++ b/src/daemon/lists.hpp
@@ -4,7 +4,9 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <functional>
+#include <optional>
 
+#include "bus/bus.hpp"
 #include "daemon/clock.hpp"
 #include "path/exchange.hpp"
 
@@ -15,12 +17,16 @@
   ListSource(Executor executor, const config::Config& config, std::function<void(path::Listed)> tell);
   void start();
   void stop();
+  void follow(config::Address bus);  // the event bus has moved; the numbers carry on
 
  private:
   asio::awaitable<void, Executor> watch_file();
   asio::awaitable<void, Executor> watch_consul();
-  asio::awaitable<std::string, Executor> fetch(const config::Address& at,
-                                               std::uint64_t& index);  // throws on any failure
+  asio::awaitable<void, Executor> watch_bus();
+  // These throw on any failure.
+  asio::awaitable<std::string, Executor> fetch(const config::Address& at, std::uint64_t& index);
+  asio::awaitable<std::string, Executor> get(const config::Address& at, std::string target, Time limit,
+                                             std::uint64_t& index);
   asio::awaitable<void, Executor> pause(Time time);
 
   Executor executor_;
@@ -29,6 +35,8 @@
   std::shared_ptr<Socket> socket_;
   SteadyTimer timer_;
   bool stopped_ = false;
+  bus::Events events_;
+  std::optional<config::Address> bus_;
 };
 
 }  // namespace heronwell::daemon
--- a/src/daemon/server.cpp
+++ b/src/daemon/server.cpp
@@ -21,6 +21,12 @@
 using namespace std::chrono_literals;
 using Acceptor = asio::basic_socket_acceptor<asio::ip::tcp, Executor>;
 constexpr auto kAcceptPause = 50ms;  // when out of file descriptors
+constexpr auto kDrain = 800ms;       // after SIGTERM, in which the platform still sends requests
+
+std::string text_of(const std::string& file) {
+  std::ifstream stream(file, std::ios::binary);
+  return {std::istreambuf_iterator<char>(stream), {}};
+}
 
 void raise_file_limit() {
   rlimit limit{};
@@ -97,11 +103,29 @@
   void stop(Time longest) {
     if (std::exchange(stopping, true)) return;
     boost::system::error_code ignored;
+    if (config.platform) return drain(longest);
     acceptor->close(ignored);
     for (auto& thread : threads) asio::post(thread->context(), [&thread] { thread->shard().stop_serving(); });
     await_end(steady_now() + longest);
   }
 
+  // The platform sends new connections and requests for a while yet: they are served to their end.
+  void drain(Time longest) {
+    for (auto& thread : threads) thread->shard().stop_serving();
+    retry->expires_after(kDrain);
+    retry->async_wait([this, longest](boost::system::error_code) { await_end(steady_now() + longest); });
+  }
+
+  // The platform's configuration was replaced. What can't be read changes nothing.
+  void reload() {
+    try {
+      const auto read = config::read_platform(text_of(config.platform->file), config.platform->file);
+      decisions->follow(read.platform->bus);
+    } catch (const std::exception& error) {
+      spdlog::warn(R"({{"event":"reload_refused","detail":{}}})", path::quoted(error.what()));
+    }
+  }
+
   void await_end(Time until) {
     if ((metrics.open->Value() <= 0 && metrics.graphql_open->Value() <= 0) || steady_now() >= until) {
       decisions->stop();
@@ -145,6 +169,18 @@
   signals.async_wait([&](boost::system::error_code error, int) {
     if (!error) parts.stop(longest);
   });
+  asio::signal_set hang_up(first);
+  std::function<void()> await_reload = [&] {
+    hang_up.async_wait([&](boost::system::error_code error, int) {
+      if (error) return;
+      parts.reload();
+      await_reload();
+    });
+  };
+  if (parts.config.platform) {
+    hang_up.add(SIGHUP);
+    await_reload();
+  }
   parts.decisions->on_ready(ready);
   std::vector<Thread*> all;
   for (auto& thread : parts.threads) all.push_back(thread.get());
--- /dev/null
+++ b/src/path/call.hpp
@@ -0,0 +1,90 @@
+// One connection to an engine of the platform: a call at a time (src/calls). No connection owns a query:
+// where one is lost, its attempt's news are asked for again on another. Its states are Link's
+// (path/states.hpp).
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "http/message.hpp"
+#include "path/shard.hpp"
+
+namespace heronwell::path {
+
+class CallConnection final : public std::enable_shared_from_this<CallConnection>,
+                             public EngineSide,
+                             public WireUser {
+ public:
+  CallConnection(Shard& shard, const EnginePool& pool, std::uint64_t number);
+  ~CallConnection() override;
+
+  void dial(AttemptPtr attempt) override;
+  bool send(const AttemptPtr& attempt) override;
+  void stop(const AttemptPtr& attempt) override;
+  void stream() override {}  // results are short: none begins before it is whole
+  void leave() override;
+  [[nodiscard]] Time idle_since() const override { return idle_since_; }
+
+  void connected() override;
+  void received(std::string_view bytes) override;
+  void writable() override;
+  void over(bool broken) override;
+
+ private:
+  enum class Lost { broken, silent };
+  bool ask();  // the next call for the attempt; false: not a byte could be written
+  bool flush();
+  void feed();
+  void answered();
+  void probed();
+  void news();
+  void page();
+  void finish(Result result);
+  void lost(Lost how);
+  void close(LinkEvent why);
+  void limit(Time after) { timer_->set(shard_.now() + after); }
+
+  Shard& shard_;
+  EngineId engine_;
+  std::uint64_t number_;
+  config::Address address_;
+  WirePtr wire_;
+  TimerPtr timer_;
+  http::Parser parser_;
+  Link state_ = Link::dialling;
+  AttemptPtr attempt_;
+  std::string in_, out_, body_;
+  unsigned interim_ = 0;  // 1xx answers in front of the one that counts
+  bool awaiting_room_ = false;
+  Time idle_since_{};
+};
+
+// Tells an engine to give an attempt up, on connections of its own, until the engine has heard or must have
+// given it up by itself, as nobody has asked for it.
+class CallRemoval final : public std::enable_shared_from_this<CallRemoval>, public WireUser {
+ public:
+  CallRemoval(Shard& shard, std::uint64_t number, const Attempt& attempt, config::Address address);
+  void dial();
+  void abandon();
+
+  void connected() override;
+  void received(std::string_view bytes) override;
+  void writable() override;
+  void over(bool broken) override;
+
+ private:
+  void tick();
+  void done();
+
+  Shard& shard_;
+  std::uint64_t number_;
+  config::Address address_;
+  ExchangePtr exchange_;
+  std::string id_, out_;
+  Time until_{};
+  WirePtr wire_;
+  TimerPtr timer_;
+  bool connected_ = false, done_ = false;
+};
+
+}  // namespace heronwell::path
--- a/src/path/client.hpp
+++ b/src/path/client.hpp
@@ -9,15 +9,18 @@
 
 #include "http/message.hpp"
 #include "path/shard.hpp"
+#include "path/sides.hpp"
 
 namespace heronwell::path {
 
-class ClientConnection final : public std::enable_shared_from_this<ClientConnection>, public WireUser {
+class ClientConnection final : public std::enable_shared_from_this<ClientConnection>,
+                               public ClientSide,
+                               public WireUser {
  public:
   ClientConnection(Shard& shard, std::uint64_t number, WirePtr wire, std::string address);
   ~ClientConnection() override;
 
-  void start();
+  void start() override;
   // Final answers; each exchange gets exactly one of whole(), or begin() pieces end().
   void whole(const ExchangePtr& exchange, int status, std::string_view type, std::string body,
              const std::vector<http::Field>& more = {});
@@ -26,14 +29,14 @@
   void end(const ExchangePtr& exchange);
   // What has begun must not look complete: the connection is reset, its other requests given up.
   void break_off();
-  void abandon();  // the process ends
+  void abandon() override;
 
   // Bytes of the exchange's answer that wait to be written.
   [[nodiscard]] std::size_t backlog(const ExchangePtr& exchange) const;
   void on_drained(std::function<void()> then) { drained_.push_back(std::move(then)); }  // called once
 
-  void sweep(Time now);  // closes what passed its time
-  void stop();           // closes once nothing is owed
+  void sweep(Time now) override;
+  void stop() override;
   [[nodiscard]] bool closed() const { return state_ == Door::closed; }
   [[nodiscard]] Door state() const { return state_; }
 
--- a/src/path/engine.hpp
+++ b/src/path/engine.hpp
@@ -7,23 +7,25 @@
 #include <string>
 
 #include "path/shard.hpp"
+#include "path/sides.hpp"
 #include "sql/session.hpp"
 
 namespace heronwell::path {
 
 class EngineConnection final : public std::enable_shared_from_this<EngineConnection>,
+                               public EngineSide,
                                public WireUser,
                                private sql::SessionEvents {
  public:
   EngineConnection(Shard& shard, const EnginePool& pool, std::uint64_t number);
   ~EngineConnection() override;
 
-  void dial(AttemptPtr attempt);         // opens it for this attempt
-  bool send(const AttemptPtr& attempt);  // idle only; false: it was found closed before a byte was written
-  void stop(const AttemptPtr& attempt);  // cancels at the engine, or drops it while dialling
-  void stream();                         // the attempt's answer may begin
-  void leave();                          // closes it; an attempt on it is not told of
-  [[nodiscard]] Time idle_since() const { return idle_since_; }
+  void dial(AttemptPtr attempt) override;
+  bool send(const AttemptPtr& attempt) override;
+  void stop(const AttemptPtr& attempt) override;
+  void stream() override;
+  void leave() override;
+  [[nodiscard]] Time idle_since() const override { return idle_since_; }
   [[nodiscard]] Link state() const { return state_; }
 
   void connected() override;
--- a/src/path/exchange.hpp
+++ b/src/path/exchange.hpp
@@ -80,7 +80,7 @@
 constexpr unsigned shard_of(Ticket ticket) { return static_cast<unsigned>(ticket >> 56); }
 
 class ClientConnection;
-class EngineConnection;
+class EngineSide;
 
 // What came of one attempt, for whoever asked: JSON or a table, or the engine's own error.
 struct Content {
@@ -116,6 +116,7 @@
   Time began{}, deadline{};
   bool keep_alive = true, head_only = false;
   Reply reply = Reply::owed;
+  std::string id;        // as its client named it, where it did
   std::string buffered;  // while earlier answers of the connection are not whole
   std::map<AttemptIndex, Content> contents;
   unsigned attempts = 0;
@@ -127,6 +128,9 @@
   std::string group;                          // its path
   groups::Limit limit = groups::Limit::none;  // of the group, that ended it
   Time held_since{}, stream_since{};
+  // Attempts of it that the engine has yet to give up, and one that waits for that.
+  unsigned removing = 0;
+  std::shared_ptr<struct Attempt> waiting;
 
   [[nodiscard]] bool done() const { return reply == Reply::whole; }
   [[nodiscard]] bool streaming() const { return reply == Reply::streaming; }
@@ -146,9 +150,15 @@
   std::optional<Time> work;
   double memory_mb = 0;
   std::vector<double> load;
-  std::weak_ptr<EngineConnection> connection;
+  std::weak_ptr<EngineSide> connection;
   TimerPtr limit;  // of a probe
 
+  // Where a query outlives its connection (the platform's calls): how far it has come.
+  double memory_limit_mb = 0;    // granted; 0: the engine's own choice
+  unsigned pages = 0, page = 0;  // of the result: all, once known; the next one to ask for
+  unsigned again = 0;            // questions asked again after a connection was lost
+  Time asked{};                  // when the engine was last asked for it
+
   // Nothing of its answer is of use any more.
   [[nodiscard]] bool over() const { return state == Try::called_off || state == Try::ended; }
 };
--- a/src/path/shard.cpp
+++ b/src/path/shard.cpp
@@ -6,8 +6,11 @@
 #include <array>
 #include <charconv>
 
+#include "calls/calls.hpp"
+#include "path/call.hpp"
 #include "path/client.hpp"
 #include "path/engine.hpp"
+#include "path/frame_client.hpp"
 #include "path/tracing.hpp"
 
 namespace heronwell::path {
@@ -71,11 +74,16 @@
   for (auto& [id, pool] : pools_)
     for (const auto& [number, connection] : std::map(pool.all)) connection->leave();
   for (const auto& [number, cancel] : std::map(cancels_)) cancel->close();
+  for (const auto& [number, removal] : std::map(removals_)) removal->abandon();
 }
 
 void Shard::serve(WirePtr wire, std::string address) {
   const auto number = this->number();
-  auto client = std::make_shared<ClientConnection>(*this, number, std::move(wire), std::move(address));
+  std::shared_ptr<ClientSide> client;
+  if (config_.platform)
+    client = std::make_shared<FrameClient>(*this, number, std::move(wire));
+  else
+    client = std::make_shared<ClientConnection>(*this, number, std::move(wire), std::move(address));
   clients_.emplace(number, client);
   client->start();
 }
@@ -114,6 +122,10 @@
 
 void Shard::stop_serving() { stopping_ = true; }
 
+bool Shard::ready() const {
+  return !stopping_ && std::ranges::any_of(pools_, [](const auto& one) { return one.second.fit; });
+}
+
 // ---- requests ------------------------------------------------------------------------------------------
 void Shard::take(const ExchangePtr& exchange, router::Ask ask) {
   exchange->cls = ask.asked.cls;
@@ -137,6 +149,7 @@
   exchange->ticket = static_cast<Ticket>(index_) << 56 | ++tickets_;
   ask.ticket = exchange->ticket;
   exchanges_.emplace(exchange->ticket, exchange);
+  if (!exchange->id.empty()) ids_.insert(exchange->id);
   metrics_.open->Increment();
   tell(Took{ask});
 }
@@ -171,7 +184,10 @@
 }
 
 void Shard::forget(const ExchangePtr& exchange) {
-  if (exchanges_.erase(exchange->ticket) > 0) metrics_.open->Decrement();
+  if (exchanges_.erase(exchange->ticket) == 0) return;
+  metrics_.open->Decrement();
+  if (!exchange->id.empty()) ids_.erase(exchange->id);
+  if (const auto waiting = std::exchange(exchange->waiting, nullptr)) end_attempt(waiting, Result::moot);
 }
 
 ExchangePtr Shard::exchange(Ticket ticket) {
@@ -266,7 +282,12 @@
     attempt->statement = std::make_shared<const sql::Statement>(std::move(marked));
   }
   if (attempt->exchange->most_bytes > 0) attempt->content.table = std::make_shared<sql::Table>();
+  if (order.terms && config_.module.grants) attempt->memory_limit_mb = order.terms->memory_mb;
   attempts_.emplace(std::pair(order.ticket, order.attempt), attempt);
+  if (attempt->exchange->removing > 0) {  // never two attempts out
+    attempt->exchange->waiting = attempt;
+    return;
+  }
   launch(attempt);
 }
 
@@ -305,16 +326,50 @@
     metrics_.redials->Increment();
   }
   if (pool->all.size() >= pool_cap_) return end_attempt(attempt, sql::Seen::pool_full);
+  connect(*pool, attempt);
+}
+
+void Shard::connect(EnginePool& pool, const AttemptPtr& attempt) {
   const auto number = this->number();
-  const auto connection = std::make_shared<EngineConnection>(*this, *pool, number);
-  pool->all.emplace(number, connection);
+  std::shared_ptr<EngineSide> connection;
+  if (config_.platform)
+    connection = std::make_shared<CallConnection>(*this, pool, number);
+  else
+    connection = std::make_shared<EngineConnection>(*this, pool, number);
+  pool.all.emplace(number, connection);
   connection->dial(attempt);
 }
 
+void Shard::ask_again(const AttemptPtr& attempt) {
+  // An engine that is drained or gone may be asked on: nothing new is sent to it.
+  if (auto* pool = this->pool(attempt->engine)) return connect(*pool, attempt);
+  end_attempt(attempt, calls::judge(calls::Seen::broken));
+}
+
+void Shard::remove(const AttemptPtr& attempt) {
+  const auto* pool = this->pool(attempt->engine);
+  if (pool == nullptr) return;
+  if (attempt->exchange) ++attempt->exchange->removing;
+  const auto number = this->number();
+  const auto removal = std::make_shared<CallRemoval>(*this, number, *attempt, pool->address);
+  removals_.emplace(number, removal);
+  removal->dial();
+}
+
+void Shard::removed(std::uint64_t number, const ExchangePtr& exchange) {
+  removals_.erase(number);
+  if (!exchange || --exchange->removing > 0) return;
+  if (const auto waiting = std::exchange(exchange->waiting, nullptr)) launch(waiting);
+}
+
 void Shard::on(const router::StopAttempt& order) {
   const auto found = attempts_.find({order.ticket, order.attempt});
   if (found == attempts_.end()) return;
   const auto attempt = found->second;
+  if (attempt->exchange && attempt->exchange->waiting == attempt) {
+    attempt->exchange->waiting = nullptr;
+    return end_attempt(attempt, calls::judge(calls::Seen::not_written));
+  }
   if (!step(attempt->state, TryEvent::stop)) return;
   if (auto connection = attempt->connection.lock()) return connection->stop(attempt);
   world_.call_off(attempt);
@@ -337,11 +392,29 @@
   metrics_.attempts[static_cast<std::size_t>(verdict.result)]->Increment();
   trace_attempt(now(), *attempt, verdict.result, code, called_off);
   if (!verdict.client_gets_error) attempt->content.sqlstate.clear(), attempt->content.error.clear();
-  if (verdict.result == Result::served && attempt->exchange)
+  finish_attempt(attempt, verdict.result);
+}
+
+void Shard::end_attempt(const AttemptPtr& attempt, Result result) {
+  const bool called_off = attempt->state == Try::called_off;
+  if (attempt->state == Try::ended || !step(attempt->state, TryEvent::end)) return;
+  if (attempt->ticket == 0)
+    return tell(Probed{attempt->engine, result, now() - attempt->started, std::move(attempt->load)});
+  metrics_.attempts[static_cast<std::size_t>(result)]->Increment();
+  trace_attempt(now(), *attempt, result, {}, called_off);
+  finish_attempt(attempt, result);
+}
+
+void Shard::finish_attempt(const AttemptPtr& attempt, Result result) {
+  if (result == Result::served && attempt->exchange)
     attempt->exchange->contents[attempt->number] = std::move(attempt->content);
   attempts_.erase({attempt->ticket, attempt->number});
-  tell(router::AttemptEnd{attempt->ticket, attempt->number, verdict.result, now(), attempt->work,
-                          attempt->memory_mb, std::move(attempt->load)});
+  tell(router::AttemptEnd{attempt->ticket, attempt->number, result, now(), attempt->work, attempt->memory_mb,
+                          std::move(attempt->load)});
+}
+
+void Shard::note(const AttemptPtr& attempt, NoteKind kind, double amount) {
+  if (attempt->ticket != 0) tell(Noted{attempt->ticket, attempt->number, kind, amount});
 }
 
 // Extras, by the protocol's own extension points: notices whose SQLSTATE is of class 01 (warning), subclass
--- a/src/path/shard.hpp
+++ b/src/path/shard.hpp
@@ -7,24 +7,27 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "path/exchange.hpp"
 #include "path/metrics.hpp"
+#include "path/sides.hpp"
 #include "trace/tracer.hpp"
 
 namespace heronwell::path {
 
 class Graphql;
 class CancelRequest;
+class CallRemoval;
 
 // Connections to one engine from one shard: idle ones are used again, newest first; no more than a cap.
 struct EnginePool {
   EngineId id = 0;
   config::Address address;
   bool fit = true;  // listed as ready
-  std::vector<std::shared_ptr<EngineConnection>> idle;
-  std::map<std::uint64_t, std::shared_ptr<EngineConnection>> all;  // by number
+  std::vector<std::shared_ptr<EngineSide>> idle;
+  std::map<std::uint64_t, std::shared_ptr<EngineSide>> all;  // by number
 };
 
 class Shard {
@@ -44,6 +47,13 @@
   void tell(Happening what) { world_.tell(Told{now(), std::move(what)}); }
   void end_attempt(const AttemptPtr& attempt, sql::Seen seen, std::string_view code = {},
                    bool cancelled = false);
+  void end_attempt(const AttemptPtr& attempt, Result result);
+  void note(const AttemptPtr& attempt, NoteKind kind, double amount);
+  // The attempt's connection is lost, its query may run on: a new one is opened to ask for it.
+  void ask_again(const AttemptPtr& attempt);
+  // Tells the engine to give the attempt up; its request sends no other before that.
+  void remove(const AttemptPtr& attempt);
+  void removed(std::uint64_t number, const ExchangePtr& exchange);
   void note(const AttemptPtr& attempt, const sql::ErrorText& notice);
   void parameter(const AttemptPtr& attempt, std::string_view name, std::string_view value);
   // The moment since when what is read now may have lain here unread: now, or, right after this thread had no
@@ -63,6 +73,8 @@
   EnginePool* pool(EngineId id);
   [[nodiscard]] std::size_t pool_cap() const { return pool_cap_; }
   [[nodiscard]] bool stopping() const { return stopping_; }
+  [[nodiscard]] bool ready() const;  // an engine is listed as ready, and this router goes on serving
+  [[nodiscard]] bool id_open(const std::string& id) const { return ids_.contains(id); }
   [[nodiscard]] std::size_t open() const { return exchanges_.size(); }
   void forget(std::uint64_t client) { clients_.erase(client); }
   void forget_cancel(std::uint64_t number) { cancels_.erase(number); }
@@ -88,6 +100,8 @@
   void update(const Fleet& fleet);
   bool choose_group(const ExchangePtr& exchange, router::Ask& ask);
   void launch(const AttemptPtr& attempt);
+  void connect(EnginePool& pool, const AttemptPtr& attempt);
+  void finish_attempt(const AttemptPtr& attempt, Result result);
   ExchangePtr exchange(Ticket ticket);
   void forget(const ExchangePtr& exchange);
   bool overdue(const ExchangePtr& exchange);
@@ -113,8 +127,10 @@
   std::unordered_map<Ticket, ExchangePtr> exchanges_;
   std::map<std::pair<Ticket, AttemptIndex>, AttemptPtr> attempts_;
   std::map<EngineId, EnginePool> pools_;
-  std::map<std::uint64_t, std::shared_ptr<ClientConnection>> clients_;  // by number
+  std::map<std::uint64_t, std::shared_ptr<ClientSide>> clients_;  // by number
   std::map<std::uint64_t, std::shared_ptr<CancelRequest>> cancels_;
+  std::map<std::uint64_t, std::shared_ptr<CallRemoval>> removals_;
+  std::unordered_set<std::string> ids_;  // of the exchanges that have one
 };
 
 }  // namespace heronwell::path
--- /dev/null
+++ b/src/path/sides.hpp
@@ -0,0 +1,32 @@
+// What a shard needs of the connections on its two sides, whatever protocol they speak: HTTP or the
+// platform's frames to clients, PostgreSQL's protocol or the platform's calls to engines.
+#pragma once
+
+#include <memory>
+
+#include "path/exchange.hpp"
+
+namespace heronwell::path {
+
+class ClientSide {
+ public:
+  virtual ~ClientSide() = default;
+  virtual void start() = 0;
+  virtual void sweep(Time now) = 0;  // closes what passed its time
+  virtual void stop() = 0;           // the router stops serving: closes once nothing is owed
+  virtual void abandon() = 0;        // the process ends
+};
+
+class EngineSide {
+ public:
+  virtual ~EngineSide() = default;
+  virtual void dial(AttemptPtr attempt) = 0;  // opens it for this attempt
+  // Idle only; false: it was found closed before a byte was written.
+  virtual bool send(const AttemptPtr& attempt) = 0;
+  virtual void stop(const AttemptPtr& attempt) = 0;  // gives it up at the engine, or drops it while dialling
+  virtual void stream() = 0;                         // the attempt's answer may begin
+  virtual void leave() = 0;                          // closes it; an attempt on it is not told of
+  [[nodiscard]] virtual Time idle_since() const = 0;
+};
+
+}  // namespace heronwell::path
