Errors blame an engine only once another served the query; no descriptor is no engine's failure

Ruled out: silence (no engine was rested for it) and spoilt answers (123, asked for again, none told to the module).

Change: judge_error() waits for the next attempt: served elsewhere, whoever failed it is blamed; failed by two, none is. judge_full() counts a 503 of an engine that tells of room as a failure, without taking back what it runs. The shard shares one cap among all engines: an idle connection to another goes first, then the attempt waits in turn; a wire says whether its dial was refused or found no descriptor here. At the cap of client connections one that is idle goes, first one that never asked.

--- a/src/config/platform.cpp
+++ b/src/config/platform.cpp
@@ -83,16 +83,17 @@
   platform.sockets = limit(bounds, "sockets", 64, 256);
   platform.memory_mb = limit(bounds, "memory_mb", 16, 64);
 
-  // Of the descriptors, half are for clients, as many as come and say nothing included, and three eighths for
-  // engines; the rest is for the bus, the log and what the system holds.
-  config.listen.connections = platform.sockets / 2;
+  // Of the descriptors, 7 in 16 are for clients (the platform's hold a third at most; the rest is for those
+  // that come and say nothing), 7 in 16 for engines; what is left is for calls that give attempts up, the
+  // bus, the log and what the system holds.
+  config.listen.connections = platform.sockets * 7 / 16;
   config.listen.pipeline = 32;
   config.listen.header_time = 1500ms;  // to send a frame
   config.listen.idle_time = 20s;
   config.listen.stall_time = 5s;
   config.listen.hold = config.listen.high_water = 256 << 10;
   auto& engines = config.engines;
-  engines.connections = std::max<std::size_t>(8, platform.sockets / 8);
+  engines.connections = platform.sockets * 7 / 16;
   const auto& ceilings = need(settings, "ceilings");
   const auto span = [&ceilings](const char* key, Time otherwise) {
     const auto found = ceilings.is_object() ? ceilings.find(key) : ceilings.end();
--- a/src/daemon/server.cpp
+++ b/src/daemon/server.cpp
@@ -80,24 +80,24 @@
 
   void accept() {
     auto& thread = *threads[next++ % threads.size()];
-    acceptor->async_accept(
-        thread.context().get_executor(), [this, &thread](boost::system::error_code error, Socket socket) {
-          if (!acceptor->is_open()) return;
-          if (error) {
-            retry->expires_after(kAcceptPause);
-            retry->async_wait([this](boost::system::error_code) { accept(); });
-            return;
-          }
-          if (metrics.clients->Value() >= static_cast<double>(config.listen.connections)) {
-            metrics.connections_refused->Increment();
-          } else if (&thread == threads.front().get()) {
-            thread.serve(std::move(socket));
-          } else {
-            auto handed = std::make_shared<Socket>(std::move(socket));
-            asio::post(thread.context(), [&thread, handed] { thread.serve(std::move(*handed)); });
-          }
-          accept();
-        });
+    acceptor->async_accept(thread.context().get_executor(), [this, &thread](boost::system::error_code error,
+                                                                            Socket socket) {
+      if (!acceptor->is_open()) return;
+      if (error) {
+        retry->expires_after(kAcceptPause);
+        retry->async_wait([this](boost::system::error_code) { accept(); });
+        return;
+      }
+      if (!config.platform && metrics.clients->Value() >= static_cast<double>(config.listen.connections)) {
+        metrics.connections_refused->Increment();
+      } else if (&thread == threads.front().get()) {
+        thread.serve(std::move(socket));
+      } else {
+        auto handed = std::make_shared<Socket>(std::move(socket));
+        asio::post(thread.context(), [&thread, handed] { thread.serve(std::move(*handed)); });
+      }
+      accept();
+    });
   }
 
   void stop(Time longest) {
--- a/src/daemon/thread.cpp
+++ b/src/daemon/thread.cpp
@@ -25,10 +25,15 @@
   void connect(const config::Address& address) {
     boost::system::error_code error;
     const auto host = asio::ip::make_address(address.host, error);
+    if (!error) socket_.open(host.is_v6() ? asio::ip::tcp::v6() : asio::ip::tcp::v4(), error);
+    if (error) note_failure(error);
     if (error) return asio::post(socket_.get_executor(), [self = shared_from_this()] { self->over(true); });
     socket_.async_connect({host, address.port},
                           [self = shared_from_this()](boost::system::error_code failed) {
-                            if (failed) return self->over(true);
+                            if (failed) {
+                              self->note_failure(failed);
+                              return self->over(true);
+                            }
                             self->ready();
                             if (const auto user = self->user()) user->connected();
                           });
@@ -67,6 +72,8 @@
     });
   }
 
+  path::DialFailure dial_failure() const override { return failure_; }
+
   bool quiet() override {
     char peek = 0;
     const auto got = ::recv(socket_.native_handle(), &peek, 1, MSG_PEEK | MSG_DONTWAIT);
@@ -91,6 +98,12 @@
 
  private:
   std::shared_ptr<path::WireUser> user() const { return user_.lock(); }
+  void note_failure(boost::system::error_code error) {
+    if (error == asio::error::connection_refused) failure_ = path::DialFailure::refused;
+    if (error == asio::error::no_descriptors || error == boost::system::errc::too_many_files_open_in_system ||
+        error == asio::error::no_buffer_space || error == boost::system::errc::address_not_available)
+      failure_ = path::DialFailure::local;
+  }
   void over(bool broken) {
     reading_ = false;
     if (const auto user = this->user()) user->over(broken);
@@ -110,6 +123,7 @@
   std::span<char> scratch_;
   std::weak_ptr<path::WireUser> user_;
   bool reading_ = false, waiting_ = false;
+  path::DialFailure failure_ = path::DialFailure::unknown;
 };
 
 class AsioTimer final : public path::Timer {
--- a/src/decide/choice.cpp
+++ b/src/decide/choice.cpp
@@ -478,20 +478,19 @@
     again(*request);
   }
 
-  void again(Request& request) {
+  bool repeatable(const Request& request) {
     const auto may = [&](const Engine* e) { return placed(request, *e) && repeat_allowed(request, *e); };
-    const bool can = std::ranges::any_of(ready_, may);
-    if (!can || request.attempts.size() >= s_.max_attempts || !within_retry_budget()) return finish(request);
-    hold(request, true);
+    return request.open && std::ranges::any_of(ready_, may) && request.attempts.size() < s_.max_attempts &&
+           within_retry_budget();
   }
+  void again(Request& request) { repeatable(request) ? hold(request, true) : finish(request); }
 
   void judge(Engine& engine, const Request& request, const Outcome& outcome) {
     const auto result = outcome.result;
     if (result == Result::served) return judge_served(engine, request, outcome);
-    if (result == Result::error) return judge_failed(engine, kErrorStep);
+    if (result == Result::error) return judge_error(engine, request);
     if (result == Result::turned_away && level() < 0) return rest(engine, "is full");
-    if (result == Result::turned_away)
-      return take_report(engine, kCrowdAtFull * cores(engine), engine.heard = now_);
+    if (result == Result::turned_away) return judge_full(engine);
     if (result != Result::not_connected && result != Result::reset) return;
     // Its process may have ended, and begin anew before any list tells.
     if (engine.broke == Time::zero()) engine.cold_before = engine.cold_since;
@@ -512,6 +511,7 @@
     auto& cls = classes_[c];
     engine.heard = now_;
     alive(engine, now_);
+    blame_others(request, engine);
     engine.errors -= kErrorStep * engine.errors;
     if (engine.health == Health::trial) {
       engine.health = Health::well;
@@ -546,19 +546,48 @@
     cls.block = cls.blocked = 0;
   }
 
+  // An error is the engine's fault or the query's own: the next attempt tells. Served elsewhere, each engine
+  // that failed it is blamed; failed by two engines, neither is: a client that sends what no engine can use
+  // would have them all rested. What can't be tried again is blamed on its engine at once.
+  void judge_error(Engine& engine, const Request& request) {
+    const auto elsewhere = [&](const Attempt& a) {
+      return !a.out && a.result == Result::error && a.engine != engine.entry.engine;
+    };
+    if (std::ranges::any_of(request.attempts, elsewhere) || (ready_.size() > 1 && repeatable(request)))
+      return;
+    judge_failed(engine, kErrorStep);
+  }
+  void blame_others(const Request& request, const Engine& served) {
+    for (const auto& attempt : request.attempts)
+      if (const auto at = engines_.find(attempt.engine);
+          !attempt.out && attempt.result == Result::error && at != engines_.end() && &at->second != &served)
+        judge_failed(at->second, kErrorStep);
+  }
+
+  // Full: it has more than its reports tell. One that turns queries away though they tell of room, again and
+  // again, is rested: each new report would make it look empty. What it runs goes on.
+  void judge_full(Engine& engine) {
+    const auto all = all_threads(engine);
+    const bool roomy = all && *all < kPassCrowd * cores(engine);
+    take_report(engine, kCrowdAtFull * cores(engine), engine.heard = now_);
+    if (roomy) judge_failed(engine, kErrorStep, false);
+  }
+
   // Engines that error at once look fast and roomy.
-  void judge_failed(Engine& engine, double step) {
+  void judge_failed(Engine& engine, double step, bool loses = true) {
     engine.errors += step * (1 - engine.errors);
-    if (engine.health == Health::trial || engine.errors >= kErrorTop) rest(engine, "fails its queries");
+    if (engine.health == Health::trial || engine.errors >= kErrorTop)
+      rest(engine, "fails its queries", loses);
   }
 
-  void rest(Engine& engine, const char* why) {
+  void rest(Engine& engine, const char* why, bool loses = true) {  // loses: what it runs is taken back
     if (engine.health == Health::resting) return;
     if (engine.health == Health::well) trace(engine, why);
     engine.health = Health::resting;
     fleet_changed_ = true;
     engine.rest = engine.rest > Time::zero() ? std::min(2 * engine.rest, kMostRest) : kFirstRest;
     engine.rest_until = now_ + span(secs(engine.rest) * (0.5 + drawn()));
+    if (!loses) return;
     for (const auto& [id, n] : std::vector(engine.out.begin(), engine.out.end())) rescue(id, n);
   }
 
--- a/src/path/call.cpp
+++ b/src/path/call.cpp
@@ -146,7 +146,13 @@
   if (!flush()) lost(Lost::broken);
 }
 
-void CallConnection::over(bool) { lost(Lost::broken); }
+void CallConnection::over(bool) {
+  const bool dialling = state_ == Link::dialling;
+  const auto failure = dialling ? wire_->dial_failure() : DialFailure::unknown;
+  lost(failure == DialFailure::refused ? Lost::refused
+       : failure == DialFailure::local ? Lost::local
+                                       : Lost::broken);
+}
 
 void CallConnection::received(std::string_view bytes) {
   const auto self = shared_from_this();
@@ -232,6 +238,7 @@
     idle_since_ = shard_.now();
     std::string().swap(body_);
     pool->idle.push_back(shared_from_this());
+    shard_.relieved();
   }
   shard_.end_attempt(attempt, result);
   if (!usable) close(LinkEvent::spoilt);
@@ -245,13 +252,18 @@
   const auto attempt = std::exchange(attempt_, nullptr);
   close(LinkEvent::lost);
   if (!attempt) return;
+  if (how == Lost::local && !attempt->over()) return shard_.starve(attempt);
   if (attempt->sent == Time::zero()) {
+    // Reset while new: nothing ran by it, and the engine may be well.
+    if (dialling && how == Lost::broken && !attempt->over() && attempt->until > shard_.now() &&
+        ++attempt->again <= kMostAgain)
+      return shard_.ask_again(attempt);
     const auto seen = attempt->over() ? calls::Seen::not_written : calls::Seen::not_dialled;
     return shard_.end_attempt(attempt,
                               attempt->ticket == 0 && !dialling ? Result::reset : calls::judge(seen));
   }
   // Refused: the process that ran it is gone.
-  const bool gone = dialling && how == Lost::broken;
+  const bool gone = how == Lost::refused;
   const bool again =
       !gone && attempt->until > shard_.now() && (how == Lost::silent || attempt->again < kMostAgain);
   if (attempt->over() || !again) {
@@ -274,6 +286,7 @@
   }
   wire_->close(false);
   timer_->cancel();
+  shard_.relieved();
 }
 
 void CallConnection::stop(const AttemptPtr& attempt) {
@@ -331,7 +344,7 @@
 
 void CallRemoval::over(bool) {
   if (done_) return;
-  if (!connected_) return done();  // refused: the process that ran it is gone
+  if (!connected_ && wire_->dial_failure() == DialFailure::refused) return done();  // its process is gone
   wire_->close(false);
   wire_ = nullptr;
   timer_->set(std::min(until_, shard_.now() + kRemoveAgain));
--- a/src/path/call.hpp
+++ b/src/path/call.hpp
@@ -31,7 +31,7 @@
   void over(bool broken) override;
 
  private:
-  enum class Lost { broken, silent };
+  enum class Lost { broken, silent, refused, local };
   bool ask();  // the next call for the attempt; false: not a byte could be written
   bool flush();
   void feed();
--- a/src/path/frame_client.cpp
+++ b/src/path/frame_client.cpp
@@ -217,6 +217,12 @@
   if (now > active_ + listen.idle_time) close(DoorEvent::leave);
 }
 
+std::optional<ClientSide::Idle> FrameClient::idle() const {
+  if (state_ == Door::reading && (!open_.empty() || !out_.empty() || (spoke_ && !in_.empty())))
+    return std::nullopt;
+  return Idle{spoke_ && state_ == Door::reading, active_};
+}
+
 void FrameClient::close(DoorEvent why, bool reset) {
   if (closed()) return;
   const auto self = shared_from_this();
--- a/src/path/frame_client.hpp
+++ b/src/path/frame_client.hpp
@@ -22,6 +22,8 @@
   void start() override;
   void sweep(Time now) override;
   void stop() override {}
+  [[nodiscard]] std::optional<Idle> idle() const override;
+  void make_room() override { close(DoorEvent::leave); }
   void abandon() override;
 
   void received(std::string_view bytes) override;
--- a/src/path/metrics.hpp
+++ b/src/path/metrics.hpp
@@ -27,7 +27,7 @@
   };
   std::vector<PerClass> classes;
   std::vector<prometheus::Counter*> attempts;  // by Result
-  prometheus::Counter *rejected, *connections, *connections_refused, *dials, *redials, *cancels,
+  prometheus::Counter *rejected, *starved, *connections, *connections_refused, *dials, *redials, *cancels,
       *settings_refused;
   prometheus::Counter *list_updates, *list_failures, *list_refused;
   prometheus::Counter *peers_sent, *peers_taken, *peers_forged, *peers_replayed, *peers_malformed;
--- a/src/path/shard.cpp
+++ b/src/path/shard.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <tuple>
 
 #include "calls/calls.hpp"
 #include "path/call.hpp"
@@ -78,6 +79,7 @@
 }
 
 void Shard::serve(WirePtr wire, std::string address) {
+  if (config_.platform && clients_.size() >= config_.listen.connections) make_client_room();
   const auto number = this->number();
   std::shared_ptr<ClientSide> client;
   if (config_.platform)
@@ -88,6 +90,16 @@
   client->start();
 }
 
+// At the cap a connection that is idle goes; one that never asked for anything first.
+void Shard::make_client_room() {
+  std::optional<ClientSide::Idle> least;
+  std::shared_ptr<ClientSide> longest;
+  for (const auto& [number, client] : clients_)
+    if (const auto idle = client->idle(); idle && (!least || *idle < *least))
+      std::tie(least, longest) = std::tuple(idle, client);
+  if (longest) longest->make_room();
+}
+
 Shard::Books Shard::books() const {
   Books books{exchanges_.size(), attempts_.size(), 0, cancels_.size(), turn_, suspect_from_, suspect_until_};
   for (const auto& [id, pool] : pools_) books.idle += pool.idle.size();
@@ -109,6 +121,7 @@
   for (auto& [id, pool] : pools_)
     for (const auto& connection : std::vector(pool.idle))
       if (now > connection->idle_since() + config_.engines.idle_close) connection->leave();
+  relieved();
   std::erase_if(pools_, [](const auto& one) { return !one.second.fit && one.second.all.empty(); });
 }
 
@@ -325,10 +338,63 @@
     if (connection->send(attempt)) return;
     metrics_.redials->Increment();
   }
-  if (pool->all.size() >= pool_cap_) return end_attempt(attempt, sql::Seen::pool_full);
+  if (config_.platform && !make_room()) return starve(attempt);
+  if (!config_.platform && pool->all.size() >= pool_cap_) return end_attempt(attempt, sql::Seen::pool_full);
   connect(*pool, attempt);
 }
 
+std::size_t Shard::linked() const {
+  std::size_t all = 0;
+  for (const auto& [id, pool] : pools_) all += pool.all.size();
+  return all;
+}
+
+bool Shard::make_room() {
+  if (linked() < pool_cap_) return true;
+  std::shared_ptr<EngineSide> longest;
+  for (const auto& [id, pool] : pools_)
+    for (const auto& connection : pool.idle)
+      if (!longest || connection->idle_since() < longest->idle_since()) longest = connection;
+  if (!longest) return false;
+  longest->leave();
+  return true;
+}
+
+void Shard::starve(const AttemptPtr& attempt) {
+  metrics_.starved->Increment();
+  starved_.push_back(attempt);
+}
+
+void Shard::relieved() {
+  if (starved_.empty() || std::exchange(relieving_, true)) return;
+  world_.defer([this] {
+    relieving_ = false;
+    auto waiting = std::exchange(starved_, {});
+    while (!waiting.empty()) {
+      const auto attempt = std::move(waiting.front());
+      waiting.pop_front();
+      if (attempt->sent > Time::zero())
+        ask_again(attempt);
+      else
+        launch(attempt);
+      if (starved_.empty()) continue;  // no room again: the others keep their turn behind it
+      starved_.insert(starved_.end(), waiting.begin(), waiting.end());
+      break;
+    }
+  });
+}
+
+// An attempt that waits here, for a connection or for an earlier one to be given up.
+bool Shard::give_up_waiting(const AttemptPtr& attempt) {
+  const bool held = attempt->exchange && attempt->exchange->waiting == attempt;
+  if (!held && std::erase(starved_, attempt) == 0) return false;
+  if (held) attempt->exchange->waiting = nullptr;
+  const bool started = attempt->sent > Time::zero();
+  if (started) remove(attempt);
+  end_attempt(attempt, calls::judge(started ? calls::Seen::stopped : calls::Seen::not_written));
+  return true;
+}
+
 void Shard::connect(EnginePool& pool, const AttemptPtr& attempt) {
   const auto number = this->number();
   std::shared_ptr<EngineSide> connection;
@@ -342,8 +408,10 @@
 
 void Shard::ask_again(const AttemptPtr& attempt) {
   // An engine that is drained or gone may be asked on: nothing new is sent to it.
-  if (auto* pool = this->pool(attempt->engine)) return connect(*pool, attempt);
-  end_attempt(attempt, calls::judge(calls::Seen::broken));
+  auto* pool = this->pool(attempt->engine);
+  if (pool == nullptr) return end_attempt(attempt, calls::judge(calls::Seen::broken));
+  if (!make_room()) return starve(attempt);
+  connect(*pool, attempt);
 }
 
 void Shard::remove(const AttemptPtr& attempt) {
@@ -366,10 +434,7 @@
   const auto found = attempts_.find({order.ticket, order.attempt});
   if (found == attempts_.end()) return;
   const auto attempt = found->second;
-  if (attempt->exchange && attempt->exchange->waiting == attempt) {
-    attempt->exchange->waiting = nullptr;
-    return end_attempt(attempt, calls::judge(calls::Seen::not_written));
-  }
+  if (give_up_waiting(attempt)) return;
   if (!step(attempt->state, TryEvent::stop)) return;
   if (auto connection = attempt->connection.lock()) return connection->stop(attempt);
   world_.call_off(attempt);
--- a/src/path/shard.hpp
+++ b/src/path/shard.hpp
@@ -3,6 +3,7 @@
 // to and from the decision strand, by the World.
 #pragma once
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <string>
@@ -51,6 +52,9 @@
   void note(const AttemptPtr& attempt, NoteKind kind, double amount);
   // The attempt's connection is lost, its query may run on: a new one is opened to ask for it.
   void ask_again(const AttemptPtr& attempt);
+  // No descriptor is left for the attempt's connection: it waits for one. Never the engine's failure.
+  void starve(const AttemptPtr& attempt);
+  void relieved();  // a connection to an engine has become free, or is closed
   // Tells the engine to give the attempt up; its request sends no other before that.
   void remove(const AttemptPtr& attempt);
   void removed(std::uint64_t number, const ExchangePtr& exchange);
@@ -101,6 +105,10 @@
   bool choose_group(const ExchangePtr& exchange, router::Ask& ask);
   void launch(const AttemptPtr& attempt);
   void connect(EnginePool& pool, const AttemptPtr& attempt);
+  [[nodiscard]] std::size_t linked() const;  // connections to engines
+  bool make_room();                          // for one more; closes an idle one to another engine if need be
+  bool give_up_waiting(const AttemptPtr& attempt);
+  void make_client_room();
   void finish_attempt(const AttemptPtr& attempt, Result result);
   ExchangePtr exchange(Ticket ticket);
   void forget(const ExchangePtr& exchange);
@@ -130,6 +138,8 @@
   std::map<std::uint64_t, std::shared_ptr<ClientSide>> clients_;  // by number
   std::map<std::uint64_t, std::shared_ptr<CancelRequest>> cancels_;
   std::map<std::uint64_t, std::shared_ptr<CallRemoval>> removals_;
+  std::deque<AttemptPtr> starved_;  // wait for a connection, in turn
+  bool relieving_ = false;
   std::unordered_set<std::string> ids_;  // of the exchanges that have one
 };
 
--- a/src/path/sides.hpp
+++ b/src/path/sides.hpp
@@ -2,7 +2,9 @@
 // platform's frames to clients, PostgreSQL's protocol or the platform's calls to engines.
 #pragma once
 
+#include <compare>
 #include <memory>
+#include <optional>
 
 #include "path/exchange.hpp"
 
@@ -15,6 +17,14 @@
   virtual void sweep(Time now) = 0;  // closes what passed its time
   virtual void stop() = 0;           // the router stops serving: closes once nothing is owed
   virtual void abandon() = 0;        // the process ends
+  // Where it may be closed for want of descriptors: since when it is idle. Those that never asked come first.
+  struct Idle {
+    bool asked = false;
+    Time since{};
+    auto operator<=>(const Idle&) const = default;
+  };
+  [[nodiscard]] virtual std::optional<Idle> idle() const { return std::nullopt; }
+  virtual void make_room() {}
 };
 
 class EngineSide {
--- a/src/path/world.hpp
+++ b/src/path/world.hpp
@@ -32,6 +32,13 @@
   virtual void over(bool broken) = 0;
 };
 
+// Why a dialled wire was over() before it was connected().
+enum class DialFailure : std::uint8_t {
+  unknown,
+  refused,  // by the other machine: no process listens there
+  local     // no descriptor or port is left here: nothing is known of the other end
+};
+
 // A stream of bytes to another process. Nothing waits.
 class Wire {
  public:
@@ -44,6 +51,7 @@
   [[nodiscard]] virtual bool quiet() = 0;  // nothing waits to be read, neither bytes nor an end
   virtual void shut() = 0;                 // the other end reads an end after what was written
   virtual void close(bool reset) = 0;      // reset: the other end reads no orderly end
+  [[nodiscard]] virtual DialFailure dial_failure() const { return DialFailure::unknown; }
 };
 using WirePtr = std::shared_ptr<Wire>;
 
--- a/tests/decide/failures_test.cpp
+++ b/tests/decide/failures_test.cpp
@@ -25,6 +25,52 @@
   EXPECT_GE(to_bad, 2);
 }
 
+TEST(FastErrors, AQueryThatNoEngineCanUseRestsNone) {
+  Drive d(plain_settings());
+  d.list({engine(7), engine(8), engine(9)});
+  for (RequestId id = 1; id <= 40; ++id) {
+    const bool unusable = id % 2 == 0;
+    const auto from = d.sends.size();
+    d.ask(id, 0, 5s, 0, id);
+    for (auto i = from; i < d.sends.size(); ++i) {
+      const auto sent = d.sends[i];
+      const auto n = static_cast<AttemptIndex>(d.sends_of(sent.request) - 1);
+      d.ends(sent.request, n, sent.engine, unusable ? Result::error : Result::served);
+    }
+    EXPECT_EQ(d.answers(id), unusable ? 1 : 0);
+    d.until(d.now + 20ms);
+    ASSERT_DOUBLE_EQ(d.gateway.pool(), 24) << "all three engines count, after request " << id;
+  }
+}
+
+TEST(Full, AnEngineThatTurnsQueriesAwayThoughItTellsOfRoomIsRested) {
+  Settings s = plain_settings();
+  s.may_probe = true;
+  s.load_fields = {LoadField::inflight};
+  Drive d(s);
+  d.list({engine(7), engine(8), engine(9)});
+  int to_bad = 0;
+  for (RequestId id = 1; id <= 60; ++id) {
+    for (const EngineId e : {7U, 8U, 9U}) {
+      ProbeResult told;
+      told.engine = e;
+      told.load = {0};  // roomy, whatever it says to queries
+      d.at(d.now, {told});
+    }
+    const auto from = d.sends.size();
+    d.ask(id, 0, 5s, 0, id);
+    for (auto i = from; i < d.sends.size(); ++i) {
+      const auto sent = d.sends[i];
+      to_bad += sent.engine == 8 ? 1 : 0;
+      const auto n = static_cast<AttemptIndex>(d.sends_of(sent.request) - 1);
+      d.ends(sent.request, n, sent.engine, sent.engine == 8 ? Result::turned_away : Result::served);
+    }
+    d.until(d.now + 20ms);
+  }
+  EXPECT_GE(to_bad, 2);
+  EXPECT_LE(to_bad, 6) << "two in a row, then one trial at a time";
+}
+
 TEST(FastErrors, AnEngineThatRecoversGetsWorkAgain) {
   Drive d(plain_settings());
   d.list({engine(7), engine(8)});
--- /dev/null
+++ b/tests/protocol/platform_test.cpp
@@ -0,0 +1,232 @@
+// The platform's protocols, without sockets: frames, calls, events of the bus, and the group of a statement.
+#include <gtest/gtest.h>
+
+#include "base/bytes.hpp"
+#include "bus/bus.hpp"
+#include "calls/calls.hpp"
+#include "frames/frames.hpp"
+#include "sql/group.hpp"
+
+namespace heronwell {
+namespace {
+
+using What = frames::Taken::What;
+
+std::string frame(unsigned type, std::uint32_t stream, const std::string& payload) {
+  std::string out;
+  put_u32(out, static_cast<std::uint32_t>(5 + payload.size()));
+  put_u8(out, type);
+  put_u32(out, stream);
+  return out + payload;
+}
+
+std::string fields(const std::vector<std::pair<std::string, std::string>>& all) {
+  std::string out;
+  put_u8(out, static_cast<unsigned>(all.size()));
+  for (const auto& [name, value] : all) {
+    put_u8(out, static_cast<unsigned>(name.size()));
+    out += name;
+    put_u16(out, static_cast<unsigned>(value.size()));
+    out += value;
+  }
+  return out;
+}
+
+std::string why(const std::vector<std::pair<std::string, std::string>>& all,
+                const std::string& body = "select 1") {
+  const auto bytes = frame(2, 1, fields(all) + body);
+  const auto taken = frames::take(bytes);
+  EXPECT_EQ(taken.what, What::frame);
+  frames::Request request;
+  return std::string(frames::read_request(taken.frame, request));
+}
+
+TEST(Frames, AreTheSameHoweverTheyAreSplit) {
+  const auto bytes =
+      frame(2, 7, fields({{"c", "report"}, {"i", "9b1f03aa5c7e2d41"}}) + "select 1") + frame(8, 7, "");
+  for (std::size_t cut = 0; cut < bytes.size(); ++cut) {
+    const auto first = frames::take(std::string_view(bytes).substr(0, cut));
+    ASSERT_NE(first.what, What::error) << "cut at " << cut;
+    if (first.what == What::need_more) continue;
+    EXPECT_EQ(first.frame.body, "select 1");
+    EXPECT_EQ(frames::find(first.frame, "c"), "report");
+    const auto second = frames::take(std::string_view(bytes).substr(first.used));
+    ASSERT_EQ(second.what, What::frame);
+    EXPECT_EQ(second.frame.type, frames::Type::leave);
+  }
+}
+
+TEST(Frames, ThatCannotBeReadAreErrorsBeforeTheyAreWhole) {
+  for (const std::uint32_t length : {0U, 4U, 262'145U, 60'000'000U, 0xffffffffU, 0x80000000U}) {
+    std::string bytes;
+    put_u32(bytes, length);
+    EXPECT_EQ(frames::take(bytes).what, What::error) << length;
+  }
+  EXPECT_EQ(frames::take(frame(3, 1, "")).what, What::error);
+  EXPECT_EQ(frames::take(frame(4, 1, "")).what, What::error) << "a router's own type";
+  EXPECT_EQ(frames::take(frame(2, 0, fields({}))).what, What::error) << "stream 0";
+  EXPECT_EQ(frames::take(frame(2, 1, "")).what, What::error) << "no count of fields";
+  EXPECT_EQ(frames::take(frame(2, 1, std::string("\2\1c\0\5ab", 7))).what, What::error)
+      << "fields past the frame";
+  std::string most;
+  put_u32(most, 262'144);
+  EXPECT_EQ(frames::take(most).what, What::need_more);
+}
+
+TEST(Frames, RequestsThatCannotBeUsedSayWhy) {
+  const std::pair<std::string, std::string> c{"c", "report"}, i{"i", "9b1f03aa5c7e2d41"}, d{"d", "1500"},
+      t{"t", "acme"};
+  EXPECT_EQ(why({c, i, d, t}), "");
+  EXPECT_NE(why({c, d, t}), "") << "no id";
+  for (const char* id : {"", "9b1f03aa5c7e2d4", "9b1f03aa5c7e2d411", "9b1f03aa5c7e2d4g", "9B1F03AA5C7E2D41"})
+    EXPECT_NE(why({c, {"i", id}, d, t}), "") << id;
+  for (const char* wait : {"", "0", "-1", "1e3", "15.5", "nan", "99999999999999999999", "1500 "})
+    EXPECT_NE(why({c, i, {"d", wait}, t}), "") << wait;
+  EXPECT_NE(why({c, c, i, d, t}), "") << "a field twice";
+  EXPECT_NE(why({c, i, d, t}, ""), "") << "no statement";
+}
+
+http::Parser answer(const std::string& text, std::string& body) {
+  http::Parser parser(http::Role::response);
+  std::string_view rest = text;
+  while (true) {
+    const auto step = parser.next(rest);
+    body += step.body;
+    rest.remove_prefix(step.consumed);
+    if (step.event == http::Parser::Event::end || step.event == http::Parser::Event::need_more) break;
+    EXPECT_NE(step.event, http::Parser::Event::error);
+  }
+  return parser;
+}
+
+calls::News news(const std::string& head, const std::string& body) {
+  std::string got;
+  const auto parser =
+      answer("HTTP/1.1 " + head + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body, got);
+  return calls::read_news(parser, got);
+}
+
+TEST(Calls, NewsAreReadAndSpoiltOnesKnown) {
+  using enum calls::News::What;
+  const std::string rows = "1\t2\t3\n4\t5\t6\n";
+  EXPECT_EQ(news("200 OK\r\nX-Parts: 1\r\n", rows).what, whole);
+  EXPECT_EQ(news("200 OK\r\nX-Parts: 3\r\n", rows).pages, 3U);
+  EXPECT_EQ(news("200 OK\r\nX-Parts: 1\r\n", "").what, whole) << "a result without rows";
+  for (const char* head :
+       {"200 OK\r\n", "200 OK\r\nX-Parts: 0\r\n", "200 OK\r\nX-Parts: -1\r\n", "200 OK\r\nX-Parts: 65\r\n",
+        "200 OK\r\nX-Parts: 1\r\nX-Part-No: 1\r\n", "404 Not Found\r\n"})
+    EXPECT_EQ(news(head, rows).what, spoilt) << head;
+  for (const char* body : {"1\t2\t3", "1\t2\n", "1\t2\t3\t4\n", "1\t2\t3\n\n"})
+    EXPECT_EQ(news("200 OK\r\nX-Parts: 1\r\n", body).what, spoilt) << body;
+  EXPECT_EQ(news("200 OK\r\nX-Parts: 1\r\n", std::string(6'001, 'x')).what, spoilt) << "over a page";
+  const auto note = news("202 Accepted\r\nX-Tell: spill_mb\r\nX-Amount: 12.5\r\n", "");
+  EXPECT_EQ(note.what, pending);
+  EXPECT_EQ(note.note, NoteKind::spill);
+  EXPECT_DOUBLE_EQ(note.amount, 12.5);
+  EXPECT_FALSE(news("202 Accepted\r\nX-Tell: progress\r\nX-Amount: nan\r\n", "").note);
+  EXPECT_FALSE(news("202 Accepted\r\nX-Tell: gossip\r\nX-Amount: 1\r\n", "").note);
+}
+
+TEST(Calls, WhatWasSeenIsOneResultAndProvesNoMoreThanItSays) {
+  struct Row {
+    const char* head;
+    Result result;
+    bool unrun;
+  };
+  for (const auto& row :
+       {Row{"503 Busy\r\nX-No-Effect: 1\r\n", Result::turned_away, true},
+        Row{"504 Late\r\nX-No-Effect: 1\r\n", Result::moot, true}, Row{"503 Busy\r\n", Result::error, false},
+        Row{"504 Late\r\n", Result::error, false},
+        Row{"503 Busy\r\nX-No-Effect: 0\r\n", Result::error, false},
+        Row{"500 Error\r\nX-No-Effect: 1\r\n", Result::error, false}}) {
+    const auto result = calls::judge(news(row.head, "").seen);
+    EXPECT_EQ(result, row.result) << row.head;
+    EXPECT_EQ(calls::proves_unrun(result), row.unrun) << row.head;
+  }
+  using enum calls::Seen;
+  EXPECT_EQ(calls::judge(not_dialled), Result::not_connected);
+  EXPECT_EQ(calls::judge(not_written), Result::moot);
+  EXPECT_EQ(calls::judge(broken), Result::reset);
+  EXPECT_EQ(calls::judge(complete), Result::served);
+  EXPECT_EQ(calls::judge(stopped), Result::called_off);
+  EXPECT_EQ(calls::judge(until_passed), Result::timed_out);
+}
+
+TEST(Calls, APageIsThatPage) {
+  std::string body;
+  const auto page = answer("HTTP/1.1 200 OK\r\nX-Part-No: 2\r\nContent-Length: 6\r\n\r\na\tb\tc\n", body);
+  EXPECT_TRUE(calls::is_page(page, body, 2));
+  EXPECT_FALSE(calls::is_page(page, body, 1)) << "out of turn";
+  EXPECT_FALSE(calls::is_page(page, "a\tb\n", 2)) << "a row cut";
+}
+
+TEST(Calls, ReportsComeInTheSettingsOrder) {
+  std::string body;
+  const auto told =
+      answer("HTTP/1.1 200 OK\r\nX-Report: util:0.61;inflight:7;new:1\r\nContent-Length: 0\r\n\r\n", body);
+  EXPECT_EQ(calls::read_report(told, {LoadField::inflight, LoadField::util}), (std::vector<double>{7, 0.61}));
+  EXPECT_TRUE(calls::read_report(told, {LoadField::queue}).empty());
+  const auto odd =
+      answer("HTTP/1.1 200 OK\r\nX-Report: inflight:-7;util:inf;;:\r\nContent-Length: 0\r\n\r\n", body);
+  EXPECT_TRUE(calls::read_report(odd, {LoadField::inflight, LoadField::util}).empty());
+}
+
+std::string event(int number, bool whole, const std::string& hosts) {
+  return R"({"offset":)" + std::to_string(number) + R"(,"topology":{"seq":1,"whole":)" +
+         (whole ? "true" : "false") + R"(,"hosts":[)" + hosts + "]}}";
+}
+std::string batch(int last, const std::string& events) {
+  return R"({"offset":)" + std::to_string(last) + R"(,"batch":[)" + events + "]}";
+}
+std::string host(const std::string& name, const std::string& health, int port = 1) {
+  return R"({"host":")" + name + R"(","dial":"127.0.0.9:)" + std::to_string(port) +
+         R"(","site":"east","class":"std","block":2,"health":")" + health + R"(","share":4,"born_ms":77})";
+}
+
+TEST(Bus, ChangesApplyToTheListInOrder) {
+  bus::Events events;
+  EXPECT_TRUE(events.take(batch(1, event(1, true, host("a", "up") + "," + host("b", "up")))));
+  EXPECT_EQ(events.entries().size(), 2U);
+  EXPECT_EQ(events.entries()[0].started_ms, 77);
+  EXPECT_FALSE(events.take(batch(1, ""))) << "nothing new";
+  EXPECT_TRUE(events.take(
+      batch(3, event(2, false, host("a", "draining")) + "," + event(3, false, host("b", "removed")))));
+  ASSERT_EQ(events.entries().size(), 1U);
+  EXPECT_EQ(events.entries()[0].state, EngineState::draining);
+  EXPECT_TRUE(
+      events.take(batch(4, event(2, false, host("a", "up")) + "," + event(4, false, host("c", "up")))))
+      << "2 is repeated";
+  EXPECT_EQ(events.entries()[0].state, EngineState::draining);
+  EXPECT_EQ(events.offset(), 4U);
+}
+
+TEST(Bus, WhatCannotBeReadChangesNothing) {
+  bus::Events events;
+  ASSERT_TRUE(events.take(batch(1, event(1, true, host("a", "up")))));
+  const auto good = event(2, false, host("a", "draining"));
+  for (const auto& bad : {std::string("{"), batch(2, good).substr(0, 60), batch(3, good),
+                          batch(4, good + "," + event(4, false, "")),
+                          batch(3, good + "," + event(3, false, host("b", "asleep"))),
+                          batch(3, good + "," + event(3, false, host("b", "up", 0))), std::string("[]")}) {
+    EXPECT_THROW(events.take(bad), std::invalid_argument) << bad;
+    EXPECT_EQ(events.offset(), 1U);
+    EXPECT_EQ(events.entries()[0].state, EngineState::ready);
+  }
+}
+
+TEST(TableGroup, IsTheNumberOfTheSchemaAndOfNothingElse) {
+  const auto group = [](const char* text) { return sql::table_group(text).value_or(-1); };
+  EXPECT_EQ(group("select * from sales_17.orders"), 17);
+  EXPECT_EQ(group("SELECT id, n -- was: from mart_1.old\nFROM mart_9.lines"), 9);
+  EXPECT_EQ(group("select a.id, 'from lake_0.decoy' as note from lake_3.t a"), 3);
+  EXPECT_EQ(group("select /* ops_1.x /* ops_2.y */ */ 1 from ops_4 . t"), 4);
+  EXPECT_EQ(group("insert into staging.t select * from \"sales_5\".orders"), 5);
+  EXPECT_EQ(group("select 'it''s a_1.b', e'\\'a_2.b' from c_6.d"), 6);
+  EXPECT_EQ(group("select $x$ a_1.b $x$, $1 from c_7.d"), 7);
+  EXPECT_EQ(group("select 1"), -1);
+  EXPECT_EQ(group("select 'unclosed a_1.b"), -1);
+  EXPECT_EQ(group("select a_.b, staging.c"), -1);
+}
+
+}  // namespace
+}  // namespace heronwell
