A fleet is jammed at twice its pace; reports are weighed by the queries that run here

Cause: pace counts the time behind loads too, so 1.5 is reached with cores to spare; and a report's queries were taken for the mean over the classes (2.3 threads) though most that run are of one thread.

Change: kJamPace 2.0; mix(): threads of a usual query here of late.

The new tests of failures_test.cpp fail without the changes.

--- a/src/decide/choice.cpp
+++ b/src/decide/choice.cpp
@@ -1,6 +1,8 @@
 // All decisions. The interface is include/heronwell/gateway.hpp; what is remembered, state.hpp beside this.
 #include <algorithm>
 #include <cmath>
+#include <functional>
+#include <numeric>
 #include <random>
 #include <ranges>
 #include <tuple>
@@ -38,7 +40,7 @@
 constexpr double kTopCrowd = 2.2;   // threads a core, all gateways: even the pool's share is held back
 constexpr double kFewQueries = 4;   // of the widest class: a pool for fewer can't keep the ranks by budgets;
 constexpr double kLaterRanks = 0.7;
-constexpr double kJamPace = 1.5;                    // pace that tells the fleet is past its peak
+constexpr double kJamPace = 2.0;                    // pace that tells the fleet is past its peak
 constexpr double kLeastEase = 0.5;                  // of the crowd limits, at the least
 constexpr double kEaseDown = 0.85, kEaseUp = 0.05;  // a period
 constexpr double kUsualSpeed = 1.5;   // answer time against the usual: up to here an engine is at usual speed
@@ -655,7 +657,7 @@
     double threads = -1;
     for (std::size_t i = 0; i < load.size(); ++i) {
       if (s_.load_fields[i] == LoadField::inflight)
-        threads = std::max(0.0, load[i] - engine.queries) * mean_threads_ + engine.threads;
+        threads = std::max(0.0, load[i] - engine.queries) * mix() + engine.threads;
       if (s_.load_fields[i] == LoadField::util && threads < 0)
         threads = load[i] * kThreadsAtFull * cores(engine);
     }
@@ -811,6 +813,8 @@
   }
 
   double running() const { return sum(&Class::running); }  // threads
+  // Threads of one query among those that reports count: as of those that run here, begun from an even mix.
+  double mix() const { return (own_threads_ + mean_threads_) / (own_queries_ + 1); }
   double sum(auto part) const {
     double all = 0;
     for (const auto& cls : classes_) all += cls.*part;
@@ -980,7 +984,11 @@
       put(Observe{true});
     }
     fill_tokens(passed);
-    own_threads_ += std::min(1.0, passed / kOwnMemory) * (running() - own_threads_);
+    const double memory = std::min(1.0, passed / kOwnMemory);
+    const auto queries = std::transform_reduce(busy_.begin(), busy_.end(), 0U, std::plus<>(),
+                                               [this](EngineId id) { return engines_.at(id).queries; });
+    own_threads_ += memory * (running() - own_threads_);
+    own_queries_ += memory * (queries - own_queries_);
     while (!deadlines_.empty() && deadlines_.begin()->first <= now_)
       finish(requests_.at(deadlines_.begin()->second));
     drop_overdue();
@@ -1071,10 +1079,10 @@
   double pool_ = 0, cores_ = 0, fleet_pace_ = 1, ease_ = 1;
   double peer_gap_ = 0, peer_threads_ = 0;
   unsigned peers_heard_ = 0;
-  double level_ = -1, told_level_ = -1;  // threads a core, by gateways and by reports; -1: none
-  double mean_threads_ = 0;              // a query, over the classes
-  double own_threads_ = 0;               // that run here, of late
-  double scatter_ = 1;                   // of reports, see kScatter
+  double level_ = -1, told_level_ = -1;       // threads a core, by gateways and by reports; -1: none
+  double mean_threads_ = 0;                   // a query, over the classes
+  double own_threads_ = 0, own_queries_ = 0;  // that run here, of late
+  double scatter_ = 1;                        // of reports, see kScatter
   Time now_{}, called_{}, away_{}, sampled_{}, ticked_{}, told_{}, asked_again_{}, level_at_{};
   std::vector<Action>* out_ = nullptr;
 };
--- a/tests/decide/failures_test.cpp
+++ b/tests/decide/failures_test.cpp
@@ -43,6 +43,25 @@
   }
 }
 
+TEST(Reports, AreWeighedByTheQueriesThatRunHereNotByTheClassesThatThereAre) {
+  Settings s = plain_settings();
+  s.classes[1].threads = s.classes[2].threads = 4;  // never asked for
+  s.may_probe = true;
+  s.load_fields = {LoadField::inflight};
+  s.gateways = 2;
+  Drive d(s);
+  d.list({engine(7)});
+  for (RequestId id = 1; id <= 2; ++id) d.ask(id, 0, 60s, 0, id);
+  ASSERT_EQ(d.sends.size(), 2U);
+  d.until(d.now + 20s);
+  ProbeResult told;
+  told.engine = 7;
+  told.load = {5};  // two of them from here
+  d.at(d.now, {told});
+  d.ask(3, 0, 30s, 0, 3);
+  EXPECT_EQ(d.sends_of(3), 1) << "about seven threads on four cores, not eleven";
+}
+
 TEST(Full, AnEngineThatTurnsQueriesAwayThoughItTellsOfRoomIsRested) {
   Settings s = plain_settings();
   s.may_probe = true;
