--- a/src/config/platform.cpp
+++ b/src/config/platform.cpp
@@ -88,6 +88,8 @@
   // bus, the log and what the system holds.
   config.listen.connections = platform.sockets * 7 / 16;
   config.listen.pipeline = 32;
+  if (config.module.max_open == 0)
+    config.module.max_open = config.listen.connections * config.listen.pipeline;
   config.listen.header_time = 1500ms;  // to send a frame
   config.listen.idle_time = 20s;
   config.listen.stall_time = 5s;
--- /dev/null
+++ b/tests/router/platform_test.cpp
@@ -0,0 +1,430 @@
+// The platform's two sides of a shard on hand-driven wires and a hand-driven clock: what a client and an
+// engine see on their sockets, byte by byte, and what the decision strand is told.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <deque>
+
+#include "base/bytes.hpp"
+#include "frames/frames.hpp"
+#include "path/shard.hpp"
+
+namespace heronwell::path {
+namespace {
+
+using namespace std::chrono_literals;
+
+class HandWire final : public Wire {
+ public:
+  void attach(std::weak_ptr<WireUser> user) override { user_ = std::move(user); }
+  std::optional<std::size_t> write(std::span<const std::string_view> pieces) override {
+    if (dead) return std::nullopt;
+    std::size_t bytes = 0;
+    for (const auto piece : pieces) written += piece, bytes += piece.size();
+    return bytes;
+  }
+  void await_room() override {}
+  void read(bool) override {}
+  bool quiet() override { return !dead; }
+  void shut() override { ended = true; }
+  void close(bool) override { closed = true, user_.reset(); }
+  [[nodiscard]] DialFailure dial_failure() const override { return failure; }
+
+  void connect() {
+    tell([](WireUser& u) { u.connected(); });
+  }
+  void fail(DialFailure why) {
+    failure = why;
+    tell([](WireUser& u) { u.over(true); });
+  }
+  void deliver(std::string_view bytes) {
+    tell([&](WireUser& u) { u.received(bytes); });
+  }
+  void reset() {
+    dead = true;
+    tell([](WireUser& u) { u.over(true); });
+  }
+
+  std::string written;
+  config::Address to;
+  bool dead = false, ended = false, closed = false;
+  DialFailure failure = DialFailure::unknown;
+
+ private:
+  void tell(auto what) {
+    if (const auto user = user_.lock()) what(*user);
+  }
+  std::weak_ptr<WireUser> user_;
+};
+using HandWirePtr = std::shared_ptr<HandWire>;
+
+class HandTimer final : public Timer {
+ public:
+  HandTimer(std::vector<HandTimer*>& all, std::function<void()> then) : all_(all), then_(std::move(then)) {
+    all_.push_back(this);
+  }
+  ~HandTimer() override { std::erase(all_, this); }
+  void set(Time moment) override { due = moment; }
+  void cancel() override { due.reset(); }
+  std::optional<Time> due;
+  void fire() {
+    due.reset();
+    then_();
+  }
+
+ private:
+  std::vector<HandTimer*>& all_;
+  std::function<void()> then_;
+};
+
+class Platform : public testing::Test, public World {
+ protected:
+  Platform()
+      : config_(config::read_platform(R"({"name":"n0","listen":"127.0.0.1:9","seed":"1f","bus":"127.0.0.2:8",
+    "known":{"offset":0,"batch":[]},"limits":{"sockets":64,"memory_mb":32},
+    "settings":{"balancers":1,"classes":[{"name":"lookup","aim":1000000000,"give-up":4000000000,"semantics":"safe"},
+      {"name":"load","aim":1000000000,"give-up":4000000000,"semantics":"unsafe"}],"kinds":["std"],"zones":["east"],
+      "tenants":[{"name":"acme","portion":1}],"ceilings":{"max-attempts":3},"safety":{},
+      "family-info":{"grants":true},"report":{"how":"pull","fields":["busy_reqs"]}}})",
+                                      "test")),
+        metrics_(router::class_names(config_.module)),
+        front_(config_.module),
+        tracer_({}, nullptr),
+        shard_(*this, config_, metrics_, front_, tracer_, 0, 1) {
+    auto fleet = std::make_shared<Fleet>();
+    for (const EngineId id : {7U, 8U}) {
+      fleet::Known known;
+      known.id = id;
+      known.entry.host = "127.0.0." + std::to_string(id);
+      known.entry.port = 10080;
+      fleet->emplace(id, known);
+    }
+    order(std::shared_ptr<const Fleet>(fleet));
+  }
+
+  Time now() override { return now_; }
+  std::uint64_t drawn() override { return 1; }
+  void draw(std::span<unsigned char>) override {}
+  WirePtr dial(const config::Address& address) override {
+    auto wire = std::make_shared<HandWire>();
+    wire->to = address;
+    dialled_.push_back(wire);
+    return wire;
+  }
+  TimerPtr timer(std::function<void()> then) override {
+    return std::make_unique<HandTimer>(timers_, std::move(then));
+  }
+  void defer(std::function<void()> then) override { deferred_.push_back(std::move(then)); }
+  void tell(Told what) override { told_.push_back(std::move(what)); }
+  void log(Level, std::string) override {}
+
+  void settle() {
+    while (!deferred_.empty()) {
+      const auto then = std::move(deferred_.front());
+      deferred_.pop_front();
+      then();
+    }
+  }
+  void until(Time moment) {
+    while (true) {
+      HandTimer* next = nullptr;
+      for (auto* timer : timers_)
+        if (timer->due && *timer->due <= moment && (next == nullptr || *timer->due < *next->due))
+          next = timer;
+      if (next == nullptr) break;
+      now_ = std::max(now_, *next->due);
+      next->fire();
+      settle();
+    }
+    now_ = moment;
+  }
+  void order(Order what) {
+    std::vector<Order> orders;
+    orders.push_back(std::move(what));
+    shard_.carry_out(orders);
+    settle();
+  }
+  HandWirePtr client() {
+    auto wire = std::make_shared<HandWire>();
+    shard_.serve(wire, {});
+    return wire;
+  }
+  static std::string request(std::uint32_t stream, const std::string& id, const std::string& cls = "lookup",
+                             const std::string& tenant = "acme", const std::string& wait = "1500") {
+    std::string payload;
+    const std::vector<std::pair<std::string, std::string>> fields{
+        {"c", cls}, {"i", id}, {"d", wait}, {"t", tenant}};
+    put_u8(payload, 4);
+    for (const auto& [name, value] : fields) {
+      put_u8(payload, static_cast<unsigned>(name.size()));
+      payload += name;
+      put_u16(payload, static_cast<unsigned>(value.size()));
+      payload += value;
+    }
+    return framed(2, stream, payload + "select * from sales_17.orders");
+  }
+  static std::string framed(unsigned type, std::uint32_t stream, const std::string& payload) {
+    std::string out;
+    put_u32(out, static_cast<std::uint32_t>(5 + payload.size()));
+    put_u8(out, type);
+    put_u32(out, stream);
+    return out + payload;
+  }
+  static std::string id(unsigned n) {
+    const auto digits = std::to_string(n);
+    return std::string(16 - digits.size(), '0') + digits;
+  }
+  // What a client reads: stream and code of each answer; the body of the last.
+  std::vector<std::pair<std::uint32_t, int>> answers(const HandWire& wire) {
+    std::vector<std::pair<std::uint32_t, int>> out;
+    ByteReader in(wire.written);
+    while (!in.rest().empty()) {
+      const auto length = in.u32();
+      const auto type = in.u8();
+      const auto stream = in.u32();
+      const auto payload = in.take(length - 5);
+      EXPECT_TRUE(in.ok());
+      EXPECT_EQ(type, 4);
+      out.emplace_back(stream, payload[0]);
+      body_ = payload.substr(2);
+    }
+    return out;
+  }
+  std::vector<Ticket> taken() const {
+    std::vector<Ticket> out;
+    for (const auto& told : told_)
+      if (const auto* took = std::get_if<Took>(&told.what)) out.push_back(took->ask.ticket);
+    return out;
+  }
+  std::vector<Result> ends() const {
+    std::vector<Result> out;
+    for (const auto& told : told_)
+      if (const auto* end = std::get_if<router::AttemptEnd>(&told.what)) out.push_back(end->result);
+    return out;
+  }
+  void start(Ticket ticket, AttemptIndex n, EngineId engine) {
+    order(router::Command(router::StartAttempt{ticket, n, engine, now_ + 1400ms, {}, {}}));
+  }
+  static std::string response(const std::string& head, const std::string& body = "") {
+    return "HTTP/1.1 " + head + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  }
+  Ticket ask(const HandWirePtr& wire, unsigned n) {
+    wire->deliver(request(n, id(n)));
+    return taken().back();
+  }
+
+  Time now_{100s};
+  config::Config config_;
+  Metrics metrics_;
+  router::Front front_;
+  trace::Tracer tracer_;
+  std::deque<std::function<void()>> deferred_;
+  std::vector<HandTimer*> timers_;
+  std::vector<HandWirePtr> dialled_;
+  std::vector<Told> told_;
+  std::string body_;
+  Shard shard_;
+};
+
+const std::string kRows = "1\t2\t3\n";
+
+TEST_F(Platform, AResultOfSeveralPagesIsServedWholeAndInOrder) {
+  const auto wire = client();
+  const auto ticket = ask(wire, 1);
+  start(ticket, 0, 7);
+  dialled_[0]->connect();
+  EXPECT_TRUE(dialled_[0]->written.starts_with("POST /x HTTP/1.1\r\n")) << dialled_[0]->written;
+  EXPECT_NE(dialled_[0]->written.find("X-Hop-Id: " + id(1)), std::string::npos);
+  EXPECT_NE(dialled_[0]->written.find("X-Sort: lookup"), std::string::npos);
+  dialled_[0]->deliver(response("202 Accepted\r\nX-Tell: progress\r\nX-Amount: 0.5\r\n"));
+  EXPECT_EQ(std::get<Noted>(told_.back().what).amount, 0.5);
+  for (const char c : response("200 OK\r\nX-Parts: 3\r\n", "a\tb\tc\n")) dialled_[0]->deliver({&c, 1});
+  EXPECT_TRUE(
+      dialled_[0]->written.ends_with("GET /x/" + id(1) + "/1 HTTP/1.1\r\nHost: 127.0.0.7:10080\r\n\r\n"));
+  dialled_[0]->deliver(response("200 OK\r\nX-Part-No: 1\r\n", "d\te\tf\n"));
+  EXPECT_TRUE(ends().empty());
+  dialled_[0]->deliver(response("200 OK\r\nX-Part-No: 2\r\n", "g\th\ti\n"));
+  ASSERT_EQ(ends(), std::vector{Result::served});
+  order(router::Command(router::Deliver{ticket, 0}));
+  EXPECT_EQ(answers(*wire), (std::vector<std::pair<std::uint32_t, int>>{{1, 0}}));
+  EXPECT_EQ(body_, "a\tb\tc\nd\te\tf\ng\th\ti\n");
+}
+
+TEST_F(Platform, AFurtherAttemptWaitsUntilTheEngineHasGivenTheFirstUp) {
+  const auto ticket = ask(client(), 1);
+  start(ticket, 0, 7);
+  dialled_[0]->connect();
+  order(router::Command(router::StopAttempt{ticket, 0}));
+  EXPECT_EQ(ends(), std::vector{Result::called_off});
+  ASSERT_EQ(dialled_.size(), 2U) << "the call that gives it up";
+  start(ticket, 1, 8);
+  EXPECT_EQ(dialled_.size(), 2U) << "never two attempts out";
+  dialled_[1]->connect();
+  EXPECT_TRUE(dialled_[1]->written.starts_with("DELETE /x/" + id(1) + " HTTP/1.1\r\n"));
+  EXPECT_EQ(dialled_.size(), 2U);
+  dialled_[1]->deliver("HTTP/1.1 204 No Content\r\n\r\n");
+  ASSERT_EQ(dialled_.size(), 3U);
+  EXPECT_EQ(dialled_[2]->to.host, "127.0.0.8");
+}
+
+TEST_F(Platform, GivingUpIsTriedAgainWhereNoDescriptorWasLeftAndEndsWhereTheProcessIsGone) {
+  const auto ticket = ask(client(), 1);
+  start(ticket, 0, 7);
+  dialled_[0]->connect();
+  order(router::Command(router::StopAttempt{ticket, 0}));
+  start(ticket, 1, 8);
+  dialled_[1]->fail(DialFailure::local);
+  EXPECT_EQ(dialled_.size(), 2U) << "nothing is known of the engine";
+  until(now_ + 150ms);
+  ASSERT_EQ(dialled_.size(), 3U) << "tried again";
+  dialled_[2]->fail(DialFailure::refused);
+  ASSERT_EQ(dialled_.size(), 4U) << "its process is gone";
+  EXPECT_EQ(dialled_[3]->to.host, "127.0.0.8");
+}
+
+TEST_F(Platform, GivingUpEndsOnceTheEngineMustHaveForgottenTheQuery) {
+  const auto ticket = ask(client(), 1);
+  start(ticket, 0, 7);
+  dialled_[0]->connect();
+  order(router::Command(router::StopAttempt{ticket, 0}));
+  order(router::Command(router::StartAttempt{ticket, 1, 8, now_ + 10s, {}, {}}));
+  const auto silent = [this] {
+    return std::ranges::none_of(dialled_, [](auto& w) { return w->to.host == "127.0.0.8"; });
+  };
+  until(now_ + 1950ms);
+  EXPECT_TRUE(silent());
+  until(now_ + 200ms);
+  EXPECT_FALSE(silent());
+}
+
+TEST_F(Platform, AfterAResetTheNewsAreAskedForAgainAndTheStartIsNotRepeated) {
+  const auto ticket = ask(client(), 1);
+  start(ticket, 0, 7);
+  dialled_[0]->connect();
+  dialled_[0]->reset();
+  EXPECT_TRUE(ends().empty()) << "it may run on";
+  ASSERT_EQ(dialled_.size(), 2U);
+  dialled_[1]->connect();
+  EXPECT_TRUE(dialled_[1]->written.starts_with("GET /x/" + id(1) + "/0 HTTP/1.1\r\n"))
+      << dialled_[1]->written;
+  dialled_[1]->deliver(response("200 OK\r\nX-Parts: 1\r\n", kRows));
+  EXPECT_EQ(ends(), std::vector{Result::served});
+}
+
+TEST_F(Platform, WhatCannotBeReadIsAskedForAgainAFewTimesAndThenGivenUp) {
+  const auto ticket = ask(client(), 1);
+  start(ticket, 0, 7);
+  for (std::size_t i = 0; i < 5; ++i) {
+    ASSERT_EQ(dialled_.size(), i + 1);
+    dialled_[i]->connect();
+    dialled_[i]->deliver(i % 2 == 0 ? response("200 OK\r\nX-Parts: 1\r\n", "1\t2") : "HTTP/1.1 \x01\r\n\r\n");
+  }
+  EXPECT_EQ(ends(), std::vector{Result::reset});
+  ASSERT_EQ(dialled_.size(), 6U) << "the engine is told";
+  dialled_[5]->connect();
+  EXPECT_TRUE(dialled_[5]->written.starts_with("DELETE"));
+}
+
+TEST_F(Platform, AResetBeforeTheStartWasWrittenIsDialledAgainAndARefusalProvesThatNothingRan) {
+  const auto ticket = ask(client(), 1);
+  start(ticket, 0, 7);
+  dialled_[0]->fail(DialFailure::unknown);
+  ASSERT_EQ(dialled_.size(), 2U);
+  dialled_[1]->connect();
+  EXPECT_TRUE(dialled_[1]->written.starts_with("POST"));
+  const auto second = ask(client(), 2);
+  start(second, 0, 8);
+  dialled_[2]->fail(DialFailure::refused);
+  EXPECT_EQ(ends(), std::vector{Result::not_connected});
+}
+
+TEST_F(Platform, NoiseBehindAnAnswerCostsTheConnectionNotTheAnswer) {
+  const auto ticket = ask(client(), 1);
+  start(ticket, 0, 7);
+  dialled_[0]->connect();
+  dialled_[0]->deliver("HTTP/1.1 102 Processing\r\n\r\n" + response("200 OK\r\nX-Parts: 1\r\n", kRows) +
+                       "HTTP/1.1 200");
+  EXPECT_EQ(ends(), std::vector{Result::served});
+  EXPECT_TRUE(dialled_[0]->closed);
+  start(ask(client(), 2), 0, 7);
+  ASSERT_EQ(dialled_.size(), 2U) << "a connection of its own";
+}
+
+TEST_F(Platform, LackOfDescriptorsMakesAnAttemptWaitAndIsNotTold) {
+  const auto wire = client();
+  const auto cap = config_.engines.connections;
+  for (unsigned n = 1; n <= cap + 1; ++n) start(ask(n % 2 == 0 ? wire : client(), n), 0, n % 2 == 0 ? 7 : 8);
+  EXPECT_EQ(dialled_.size(), cap);
+  EXPECT_TRUE(ends().empty());
+  dialled_[0]->connect();
+  dialled_[0]->deliver(response("200 OK\r\nX-Parts: 1\r\n", kRows));
+  settle();
+  EXPECT_EQ(ends(), std::vector{Result::served});
+  const auto posts = std::ranges::count_if(dialled_, [](auto& w) { return !w->closed; });
+  EXPECT_EQ(static_cast<std::size_t>(posts), cap);
+  EXPECT_NE(dialled_.size() == cap, dialled_[0]->written.find("POST", 4) == std::string::npos)
+      << "the one that waited";
+}
+
+TEST_F(Platform, WhatCannotBeReadEndsThatConnectionAlone) {
+  const auto good = client(), bad = client();
+  const auto kept = ask(good, 1);
+  bad->deliver(request(1, id(2)));
+  std::string huge;
+  put_u32(huge, 60'000'000);
+  bad->deliver(huge);
+  EXPECT_EQ(answers(*bad), (std::vector<std::pair<std::uint32_t, int>>{{0, 2}}));
+  EXPECT_TRUE(bad->ended);
+  EXPECT_TRUE(std::holds_alternative<Left>(told_.back().what)) << "its open request is given up";
+  for (int i = 0; i < 100 && !bad->closed; ++i) bad->deliver(std::string(16 << 10, 'x'));
+  EXPECT_TRUE(bad->closed) << "drained within bounds";
+  order(router::Command(router::Answer{kept, router::Ending::refused, 500ms}));
+  EXPECT_EQ(answers(*good), (std::vector<std::pair<std::uint32_t, int>>{{1, 1}}));
+}
+
+TEST_F(Platform, RequestsThatCannotBeUsedAreRefusedOnceAndNeverTaken) {
+  const auto wire = client();
+  wire->deliver(request(1, id(1), "gossip") + request(2, id(2), "lookup", "nobody") + request(3, "xyz") +
+                request(4, id(4), "lookup", "acme", "0"));
+  EXPECT_EQ(answers(*wire), (std::vector<std::pair<std::uint32_t, int>>{{1, 1}, {2, 1}, {3, 1}, {4, 1}}));
+  EXPECT_TRUE(taken().empty());
+  wire->deliver(request(5, id(5)));
+  EXPECT_EQ(taken().size(), 1U) << "the connection goes on";
+  client()->deliver(request(1, id(5)));
+  EXPECT_EQ(taken().size(), 1U) << "the id of an open request";
+  for (unsigned n = 6; n <= 40; ++n) wire->deliver(request(n, id(n)));
+  EXPECT_EQ(taken().size(), 32U) << "more than 32 open";
+}
+
+TEST_F(Platform, AStreamNumberUsedTwiceServesNeither) {
+  const auto wire = client();
+  wire->deliver(request(1, id(1)) + request(1, id(2)));
+  EXPECT_EQ(answers(*wire), (std::vector<std::pair<std::uint32_t, int>>{{0, 2}}));
+  EXPECT_TRUE(std::holds_alternative<Left>(told_.back().what));
+}
+
+TEST_F(Platform, AClientThatLeavesAStreamGetsNoAnswerOnIt) {
+  const auto wire = client();
+  const auto ticket = ask(wire, 1);
+  wire->deliver(framed(8, 1, "") + framed(8, 9, ""));
+  EXPECT_TRUE(std::holds_alternative<Left>(told_.back().what));
+  order(router::Command(router::Answer{ticket, router::Ending::refused, 500ms}));
+  EXPECT_TRUE(wire->written.empty());
+}
+
+TEST_F(Platform, SilentConnectionsAreClosedInTimeAndGoFirstAtTheCap) {
+  const auto silent = client(), half = client(), asked = client();
+  half->deliver(request(1, id(1)).substr(0, 20));
+  asked->deliver(framed(16, 0, std::string(1, '\0')));
+  until(now_ + 2300ms);
+  EXPECT_TRUE(silent->ended);
+  EXPECT_TRUE(half->ended);
+  EXPECT_FALSE(asked->ended || asked->closed);
+  std::vector<HandWirePtr> more;
+  for (std::size_t i = 0; i < config_.listen.connections; ++i) more.push_back(client());
+  EXPECT_FALSE(asked->closed);
+  EXPECT_TRUE(more.front()->closed) << "never asked for anything";
+}
+
+}  // namespace
+}  // namespace heronwell::path
