A probe reset again and again gives nothing up; a fuzz target of the platform's protocols

Cause: read in call.cpp, lost(): a probe whose fifth connection was reset went on to Shard::remove(), which took its missing exchange for a request's (null). Change: a probe leaves nothing running, so nothing is given up; a test resets one five times.

--- /dev/null
+++ b/fuzz/platform_fuzz.cpp
@@ -0,0 +1,79 @@
+// The platform's protocols; the first byte says which. Frames: the same however they are split, and never
+// more used than there is. Calls: a page served is sound. The bus: what is refused changes nothing. Groups of
+// tables: any text.
+#include <cstdint>
+#include <cstdlib>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+
+#include "bus/bus.hpp"
+#include "calls/calls.hpp"
+#include "frames/frames.hpp"
+#include "sql/group.hpp"
+
+namespace {
+
+using namespace heronwell;
+
+void frames_of(std::string_view in) {
+  using What = frames::Taken::What;
+  const auto whole = frames::take(in);
+  if (whole.used > in.size() || (whole.what == What::frame) != (whole.used > 0)) std::abort();
+  for (std::size_t cut = 0; cut < in.size(); ++cut) {
+    const auto part = frames::take(in.substr(0, cut));
+    if (part.what == What::error && whole.what != What::error) std::abort();
+    if (part.what == What::frame && part.used != whole.used) std::abort();
+  }
+  frames::Request request;
+  if (whole.what != What::frame || whole.frame.type != frames::Type::request) return;
+  if (frames::read_request(whole.frame, request).empty() && (request.id.size() != 16 || request.wait_ms == 0))
+    std::abort();
+}
+
+void calls_of(std::string_view in) {
+  http::Parser parser(http::Role::response);
+  std::string body;
+  while (true) {
+    const auto step = parser.next(in);
+    body += step.body;
+    in.remove_prefix(step.consumed);
+    if (step.event == http::Parser::Event::error || step.event == http::Parser::Event::need_more) return;
+    if (step.event != http::Parser::Event::end) continue;
+    const auto news = calls::read_news(parser, body);
+    if (news.what == calls::News::What::whole && (news.pages == 0 || !calls::sound_rows(body))) std::abort();
+    for (const auto figure : calls::read_report(parser, {LoadField::inflight, LoadField::util}))
+      if (!(figure >= 0)) std::abort();
+    body.clear();
+  }
+}
+
+void bus_of(std::string_view in) {
+  bus::Events events;
+  try {
+    (void)events.take(in);
+  } catch (const std::invalid_argument& error) {
+    if (std::string(error.what()).empty() || events.offset() != 0 || !events.entries().empty()) std::abort();
+  }
+}
+
+}  // namespace
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
+  if (size == 0) return 0;
+  const std::string bytes(reinterpret_cast<const char*>(data) + 1, size - 1);
+  switch (data[0] % 4) {
+    case 0:
+      frames_of(bytes);
+      break;
+    case 1:
+      calls_of(bytes);
+      break;
+    case 2:
+      bus_of(bytes);
+      break;
+    default:
+      (void)sql::table_group(bytes);
+  }
+  return 0;
+}
--- a/src/path/shard.cpp
+++ b/src/path/shard.cpp
@@ -416,8 +416,8 @@
 
 void Shard::remove(const AttemptPtr& attempt) {
   const auto* pool = this->pool(attempt->engine);
-  if (pool == nullptr) return;
-  if (attempt->exchange) ++attempt->exchange->removing;
+  if (pool == nullptr || !attempt->exchange) return;  // a probe leaves nothing running
+  ++attempt->exchange->removing;
   const auto number = this->number();
   const auto removal = std::make_shared<CallRemoval>(*this, number, *attempt, pool->address);
   removals_.emplace(number, removal);
--- a/tests/router/platform_test.cpp
+++ b/tests/router/platform_test.cpp
@@ -338,6 +338,18 @@
   EXPECT_EQ(ends(), std::vector{Result::not_connected});
 }
 
+TEST_F(Platform, AProbeThatIsResetAgainAndAgainIsToldAsResetAndGivesNothingUp) {
+  order(router::Command(router::ProbeEngine{7}));
+  for (std::size_t i = 0; i < 5; ++i) {
+    ASSERT_EQ(dialled_.size(), i + 1);
+    dialled_[i]->connect();
+    EXPECT_TRUE(dialled_[i]->written.starts_with("GET /busy HTTP/1.1\r\n"));
+    dialled_[i]->reset();
+  }
+  EXPECT_EQ(dialled_.size(), 5U);
+  EXPECT_EQ(std::get<Probed>(told_.back().what).result, Result::reset);
+}
+
 TEST_F(Platform, NoiseBehindAnAnswerCostsTheConnectionNotTheAnswer) {
   const auto ticket = ask(client(), 1);
   start(ticket, 0, 7);
