One reader of "host:port" for the bus and the platform's configuration

Need: both had the same lines (seen by a look for repeats). No change in what is read or refused: the tests of bus and configuration pass as they were, the embedding example builds and runs.

--- a/src/bus/bus.cpp
+++ b/src/bus/bus.cpp
@@ -2,9 +2,11 @@
 
 #include <fmt/format.h>
 
-#include <charconv>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
+#include <utility>
+
+#include "base/address.hpp"
 
 namespace heronwell::bus {
 namespace {
@@ -43,17 +45,10 @@
   else
     wrong(place + ".health", "up, draining or removed");
   if (out.state == EngineState::gone) return out;  // its other fields no longer matter
-  const auto at = text(in, "dial", place);
-  const auto colon = at.rfind(':');
-  unsigned port = 0;
-  if (colon != std::string::npos) {
-    const auto* end = at.data() + at.size();
-    const auto read = std::from_chars(at.data() + colon + 1, end, port);
-    if (read.ec != std::errc() || read.ptr != end) port = 0;
-  }
-  if (colon == 0 || port < 1 || port > 65535) wrong(place + ".dial", "address:port");
-  out.host = at.substr(0, colon);
-  out.port = static_cast<std::uint16_t>(port);
+  auto at = read_address(text(in, "dial", place));
+  if (!at) wrong(place + ".dial", "address:port");
+  out.host = std::move(at->first);
+  out.port = at->second;
   out.zone = text(in, "site", place);
   out.kind = text(in, "class", place);
   out.cell = static_cast<std::uint16_t>(in.contains("block") ? whole(in, "block", place, 65535) : 0);
--- a/src/config/platform.cpp
+++ b/src/config/platform.cpp
@@ -4,7 +4,9 @@
 #include <charconv>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
+#include <utility>
 
+#include "base/address.hpp"
 #include "config/config.hpp"
 #include "site/settings.hpp"
 
@@ -31,15 +33,9 @@
 }
 
 Address address(const std::string& at, const char* field) {
-  const auto colon = at.rfind(':');
-  unsigned port = 0;
-  if (colon != std::string::npos) {
-    const auto* end = at.data() + at.size();
-    const auto read = std::from_chars(at.data() + colon + 1, end, port);
-    if (read.ec != std::errc() || read.ptr != end) port = 0;
-  }
-  if (colon == 0 || port < 1 || port > 65535) wrong(field, "address:port");
-  return {at.substr(0, colon), static_cast<std::uint16_t>(port)};
+  auto read = read_address(at);
+  if (!read) wrong(field, "address:port");
+  return {std::move(read->first), read->second};
 }
 
 std::size_t limit(const Json& limits, const char* key, std::size_t least, std::size_t otherwise) {
