--- a/src/calls/calls.cpp
+++ b/src/calls/calls.cpp
@@ -104,16 +104,10 @@
       return Result::served;
     case Seen::stopped:
       return Result::called_off;
-    case Seen::until_passed:
-      return Result::timed_out;
   }
   return Result::reset;
 }
 
-bool proves_unrun(Result result) {
-  return result == Result::turned_away || result == Result::not_connected || result == Result::moot;
-}
-
 News read_news(const http::Parser& answer, std::string_view body) {
   using What = News::What;
   News news;
--- a/src/calls/calls.hpp
+++ b/src/calls/calls.hpp
@@ -36,11 +36,9 @@
   too_late,     // 504 with X-No-Effect
   error,        // 500, or any other answer that proves nothing
   complete,     // the whole result came, and is sound
-  stopped,      // given up from here
-  until_passed  // no answer in the time given
+  stopped       // given up from here
 };
 [[nodiscard]] Result judge(Seen seen);
-[[nodiscard]] bool proves_unrun(Result result);
 
 // What an answer to a start or to a question for news says.
 struct News {
--- a/src/daemon/decisions.cpp
+++ b/src/daemon/decisions.cpp
@@ -3,6 +3,8 @@
 #include <fstream>
 #include <sstream>
 
+#include "daemon/file.hpp"
+
 namespace heronwell::daemon {
 namespace {
 
@@ -10,11 +12,6 @@
 constexpr auto kMeasure = 500ms;  // between updates of gauges
 constexpr auto kScanStep = 5ms;   // between two pieces of a scan of groups
 
-std::string text_of(const std::string& file) {
-  std::ifstream stream(file, std::ios::binary);
-  return {std::istreambuf_iterator<char>(stream), {}};
-}
-
 }  // namespace
 
 Decisions::Decisions(asio::io_context& context, const config::Config& config, path::Metrics& metrics,
--- a/src/daemon/server.cpp
+++ b/src/daemon/server.cpp
@@ -12,6 +12,7 @@
 #include <thread>
 
 #include "daemon/decisions.hpp"
+#include "daemon/file.hpp"
 #include "daemon/trace_file.hpp"
 #include "path/graphql.hpp"
 
@@ -23,11 +24,6 @@
 constexpr auto kAcceptPause = 50ms;  // when out of file descriptors
 constexpr auto kDrain = 800ms;       // after SIGTERM, in which the platform still sends requests
 
-std::string text_of(const std::string& file) {
-  std::ifstream stream(file, std::ios::binary);
-  return {std::istreambuf_iterator<char>(stream), {}};
-}
-
 void raise_file_limit() {
   rlimit limit{};
   if (getrlimit(RLIMIT_NOFILE, &limit) != 0) return;
--- a/src/frames/frames.cpp
+++ b/src/frames/frames.cpp
@@ -38,13 +38,13 @@
     return out;
   };
   if (length < kLeast || length > kMost) return wrong("length: expected 5 to 262144");
-  out.wanted = kLengthBytes + length;
+  const std::size_t whole = kLengthBytes + length;
   // The type and stream are judged as soon as they are there: no long wait for what can't be read anyway.
   if (in.size() > kLengthBytes) {
     const auto type = static_cast<unsigned char>(in[kLengthBytes]);
     if (type != 2 && type != 8 && type != 16) return wrong("type: expected 2, 8 or 16");
   }
-  if (in.size() < out.wanted) return out;
+  if (in.size() < whole) return out;
   ByteReader reader(in.substr(kLengthBytes, length));
   out.frame.type = static_cast<Type>(reader.u8());
   out.frame.stream = reader.u32();
@@ -52,7 +52,7 @@
   if (out.frame.type != Type::leave && !take_fields(reader, out.frame.fields))
     return wrong("fields: they run past their frame");
   out.frame.body = reader.rest();
-  out.used = out.wanted;
+  out.used = whole;
   out.what = Taken::What::frame;
   return out;
 }
@@ -86,8 +86,6 @@
   put_u8(out, 0);
 }
 
-void put_go_away(std::string& out) { put_head(out, Type::go_away, 0, 0); }
-
 std::string_view read_request(const Frame& frame, Request& out) {
   const auto text = [&frame](std::string_view name) { return find(frame, name).value_or(""); };
   for (std::size_t i = 0; i < frame.fields.size(); ++i)
--- a/src/frames/frames.hpp
+++ b/src/frames/frames.hpp
@@ -21,8 +21,7 @@
   answer = 4,      // a code, fields, then the body; on stream 0: an error that belongs to no request
   leave = 8,       // nobody waits for this stream any more
   ask_ready = 16,  // fields
-  ready = 32,      // a code, fields
-  go_away = 64     // on stream 0: no new request on this connection
+  ready = 32       // a code, fields
 };
 enum class Code : std::uint8_t { served = 0, refused = 1, failed = 2 };
 
@@ -39,8 +38,7 @@
 // Takes one frame from the front of `in`. Views live as long as `in`.
 struct Taken {
   enum class What { frame, need_more, error } what = What::need_more;
-  std::size_t used = 0;    // bytes of a whole frame
-  std::size_t wanted = 0;  // need_more: bytes of the whole frame where its length is known; else 0
+  std::size_t used = 0;  // bytes of a whole frame
   Frame frame;
   const char* wrong = "";  // error: what was expected
 };
@@ -51,7 +49,6 @@
 void put_answer(std::string& out, std::uint32_t stream, Code code, const std::vector<Field>& fields,
                 std::string_view body);
 void put_ready(std::string& out, std::uint32_t stream, bool ready);
-void put_go_away(std::string& out);
 
 // What a request must carry, read from its fields.
 struct Request {
--- a/src/path/call.cpp
+++ b/src/path/call.cpp
@@ -128,18 +128,7 @@
   return true;
 }
 
-bool CallConnection::flush() {
-  while (!out_.empty() && !awaiting_room_) {
-    const std::string_view piece = out_;
-    const auto wrote = wire_->write({&piece, 1});
-    if (!wrote) return false;
-    out_.erase(0, *wrote);
-    if (*wrote > 0) continue;
-    awaiting_room_ = true;
-    wire_->await_room();
-  }
-  return true;
-}
+bool CallConnection::flush() { return path::flush(*wire_, out_, awaiting_room_); }
 
 void CallConnection::writable() {
   awaiting_room_ = false;
@@ -304,10 +293,10 @@
 }
 
 // ---- giving up -----------------------------------------------------------------------------------------
-CallRemoval::CallRemoval(Shard& shard, std::uint64_t number, const Attempt& attempt, config::Address address)
+CallRemoval::CallRemoval(Shard& shard, std::uint64_t number, const Attempt& attempt)
     : shard_(shard),
       number_(number),
-      address_(std::move(address)),
+      address_(attempt.address),
       exchange_(attempt.exchange),
       id_(attempt.exchange->id),
       until_(attempt.asked + kForgets) {
@@ -331,12 +320,8 @@
 }
 
 void CallRemoval::writable() {
-  const std::string_view piece = out_;
-  if (piece.empty()) return;
-  const auto wrote = wire_->write({&piece, 1});
-  if (!wrote) return over(true);
-  out_.erase(0, *wrote);
-  if (!out_.empty()) wire_->await_room();
+  bool awaiting_room = false;
+  if (!flush(*wire_, out_, awaiting_room)) over(true);
 }
 
 // Any answer tells that the call has come whole.
--- a/src/path/call.hpp
+++ b/src/path/call.hpp
@@ -63,7 +63,7 @@
 // given it up by itself, as nobody has asked for it.
 class CallRemoval final : public std::enable_shared_from_this<CallRemoval>, public WireUser {
  public:
-  CallRemoval(Shard& shard, std::uint64_t number, const Attempt& attempt, config::Address address);
+  CallRemoval(Shard& shard, std::uint64_t number, const Attempt& attempt);
   void dial();
   void abandon();
 
--- a/src/path/engine.cpp
+++ b/src/path/engine.cpp
@@ -115,18 +115,7 @@
   return true;
 }
 
-bool EngineConnection::flush() {
-  while (!out_.empty() && !awaiting_room_) {
-    const std::string_view piece = out_;
-    const auto wrote = wire_->write({&piece, 1});
-    if (!wrote) return false;
-    out_.erase(0, *wrote);
-    if (*wrote > 0) continue;
-    awaiting_room_ = true;
-    wire_->await_room();
-  }
-  return true;
-}
+bool EngineConnection::flush() { return path::flush(*wire_, out_, awaiting_room_); }
 
 // Closed, reset, out of time or malformed: what that says of the attempt depends on how far it was.
 void EngineConnection::lost() {
@@ -204,12 +193,8 @@
 }
 
 void CancelRequest::writable() {
-  const std::string_view piece = out_;
-  if (piece.empty()) return;
-  const auto wrote = wire_->write({&piece, 1});
-  if (!wrote) return close();
-  out_.erase(0, *wrote);
-  if (!out_.empty()) wire_->await_room();
+  bool awaiting_room = false;
+  if (!flush(*wire_, out_, awaiting_room)) close();
 }
 
 void CancelRequest::received(std::string_view) { close(); }
--- a/src/path/exchange.hpp
+++ b/src/path/exchange.hpp
@@ -154,6 +154,7 @@
   TimerPtr limit;  // of a probe
 
   // Where a query outlives its connection (the platform's calls): how far it has come.
+  config::Address address;       // where it was sent
   double memory_limit_mb = 0;    // granted; 0: the engine's own choice
   unsigned pages = 0, page = 0;  // of the result: all, once known; the next one to ask for
   unsigned again = 0;            // questions asked again after a connection was lost
--- a/src/path/shard.cpp
+++ b/src/path/shard.cpp
@@ -332,6 +332,7 @@
   if (pool == nullptr || !pool->fit || attempt->until <= attempt->started)
     return end_attempt(attempt, sql::Seen::not_written);
   if (world_.carry(attempt)) return;
+  attempt->address = pool->address;
   while (!pool->idle.empty()) {
     const auto connection = pool->idle.back();
     pool->idle.pop_back();
@@ -409,17 +410,19 @@
 void Shard::ask_again(const AttemptPtr& attempt) {
   // An engine that is drained or gone may be asked on: nothing new is sent to it.
   auto* pool = this->pool(attempt->engine);
-  if (pool == nullptr) return end_attempt(attempt, calls::judge(calls::Seen::broken));
+  if (pool == nullptr) {  // gone from the list, and no connection was left to it
+    remove(attempt);
+    return end_attempt(attempt, calls::judge(calls::Seen::broken));
+  }
   if (!make_room()) return starve(attempt);
   connect(*pool, attempt);
 }
 
 void Shard::remove(const AttemptPtr& attempt) {
-  const auto* pool = this->pool(attempt->engine);
-  if (pool == nullptr || !attempt->exchange) return;  // a probe leaves nothing running
+  if (!attempt->exchange) return;  // a probe leaves nothing running
   ++attempt->exchange->removing;
   const auto number = this->number();
-  const auto removal = std::make_shared<CallRemoval>(*this, number, *attempt, pool->address);
+  const auto removal = std::make_shared<CallRemoval>(*this, number, *attempt);
   removals_.emplace(number, removal);
   removal->dial();
 }
--- a/src/path/world.hpp
+++ b/src/path/world.hpp
@@ -55,6 +55,21 @@
 };
 using WirePtr = std::shared_ptr<Wire>;
 
+// Writes of `out` what there is room for, and asks to be told of more room. False: nothing can be written any
+// more.
+inline bool flush(Wire& wire, std::string& out, bool& awaiting_room) {
+  while (!out.empty() && !awaiting_room) {
+    const std::string_view piece = out;
+    const auto wrote = wire.write({&piece, 1});
+    if (!wrote) return false;
+    out.erase(0, *wrote);
+    if (*wrote > 0) continue;
+    awaiting_room = true;
+    wire.await_room();
+  }
+  return true;
+}
+
 // Calls `then` once, at the moment set or later; never from within set() or cancel().
 class Timer {
  public:
--- a/tests/protocol/platform_test.cpp
+++ b/tests/protocol/platform_test.cpp
@@ -127,21 +127,18 @@
   EXPECT_FALSE(news("202 Accepted\r\nX-Tell: gossip\r\nX-Amount: 1\r\n", "").note);
 }
 
-TEST(Calls, WhatWasSeenIsOneResultAndProvesNoMoreThanItSays) {
+TEST(Calls, WhatWasSeenIsOneResult) {
   struct Row {
     const char* head;
     Result result;
-    bool unrun;
   };
   for (const auto& row :
-       {Row{"503 Busy\r\nX-No-Effect: 1\r\n", Result::turned_away, true},
-        Row{"504 Late\r\nX-No-Effect: 1\r\n", Result::moot, true}, Row{"503 Busy\r\n", Result::error, false},
-        Row{"504 Late\r\n", Result::error, false},
-        Row{"503 Busy\r\nX-No-Effect: 0\r\n", Result::error, false},
-        Row{"500 Error\r\nX-No-Effect: 1\r\n", Result::error, false}}) {
+       {Row{"503 Busy\r\nX-No-Effect: 1\r\n", Result::turned_away},
+        Row{"504 Late\r\nX-No-Effect: 1\r\n", Result::moot}, Row{"503 Busy\r\n", Result::error},
+        Row{"504 Late\r\n", Result::error}, Row{"503 Busy\r\nX-No-Effect: 0\r\n", Result::error},
+        Row{"500 Error\r\nX-No-Effect: 1\r\n", Result::error}}) {
     const auto result = calls::judge(news(row.head, "").seen);
     EXPECT_EQ(result, row.result) << row.head;
-    EXPECT_EQ(calls::proves_unrun(result), row.unrun) << row.head;
   }
   using enum calls::Seen;
   EXPECT_EQ(calls::judge(not_dialled), Result::not_connected);
@@ -149,7 +146,6 @@
   EXPECT_EQ(calls::judge(broken), Result::reset);
   EXPECT_EQ(calls::judge(complete), Result::served);
   EXPECT_EQ(calls::judge(stopped), Result::called_off);
-  EXPECT_EQ(calls::judge(until_passed), Result::timed_out);
 }
 
 TEST(Calls, APageIsThatPage) {
