--- a/src/calls/calls.cpp
+++ b/src/calls/calls.cpp
@@ -62,6 +62,7 @@
   auto to = std::back_inserter(out);
   fmt::format_to(to, "POST /x HTTP/1.1\r\nHost: {}\r\nX-Hop-Id: {}\r\nX-Sort: {}\r\nX-Budget: {}\r\n", host,
                  query.id, query.cls, budget_ms);
+  if (!query.key.empty()) fmt::format_to(to, "X-Replay-Key: {}\r\n", query.key);
   if (memory_mb > 0)
     fmt::format_to(to, "X-Mem-Limit: {}\r\n",
                    std::max<std::int64_t>(1, static_cast<std::int64_t>(memory_mb + 0.5)));
--- a/src/calls/calls.hpp
+++ b/src/calls/calls.hpp
@@ -18,7 +18,7 @@
 inline constexpr std::size_t kPageBytes = 6'000, kResultBytes = 48'000, kMostPages = 64;
 
 struct Query {
-  std::string id, cls;  // as the client named them
+  std::string_view id, cls, key;  // as the client named them; key: empty where it gave none
 };
 
 void put_start(std::string& out, std::string_view host, const Query& query, std::int64_t budget_ms,
--- a/src/frames/frames.cpp
+++ b/src/frames/frames.cpp
@@ -104,6 +104,9 @@
     return "d: expected milliseconds, 1 to 3600000";
   if (frame.body.empty()) return "body: expected a statement";
   return {};
+  out.key = text("k");  // goes on as a header's value
+  if (!std::ranges::all_of(out.key, [](char c) { return c > ' ' && c < '\x7f'; }))
+    return "k: expected printable characters";
 }
 
 }  // namespace heronwell::frames
--- a/src/frames/frames.hpp
+++ b/src/frames/frames.hpp
@@ -55,6 +55,7 @@
   std::string_view cls, id, tenant;
   std::uint64_t wait_ms = 0;
 };
+  std::string_view key;  // under which engines drop repeats; empty: none
 // Why it can't be taken; empty: `out` is filled.
 [[nodiscard]] std::string_view read_request(const Frame& frame, Request& out);
 
--- a/src/path/call.cpp
+++ b/src/path/call.cpp
@@ -107,7 +107,8 @@
   } else if (starts) {
     const auto& exchange = *attempt_->exchange;
     const auto budget = std::max<std::int64_t>(1, (attempt_->until - now) / 1ms);
-    calls::put_start(out_, host, {exchange.id, shard_.config().module.classes[exchange.cls].name}, budget,
+    calls::put_start(out_, host,
+                     {exchange.id, shard_.config().module.classes[exchange.cls].name, exchange.key}, budget,
                      attempt_->memory_limit_mb, attempt_->statement->text);
   } else if (attempt_->pages == 0) {
     calls::put_news(out_, host, attempt_->exchange->id);
--- a/src/path/exchange.hpp
+++ b/src/path/exchange.hpp
@@ -116,7 +116,7 @@
   Time began{}, deadline{};
   bool keep_alive = true, head_only = false;
   Reply reply = Reply::owed;
-  std::string id;        // as its client named it, where it did
+  std::string id, key;   // as its client named it, and its repeats, where it did
   std::string buffered;  // while earlier answers of the connection are not whole
   std::map<AttemptIndex, Content> contents;
   unsigned attempts = 0;
--- a/src/path/frame_client.cpp
+++ b/src/path/frame_client.cpp
@@ -104,6 +104,7 @@
   router::Ask ask;
   ask.asked.cls = static_cast<ClassIndex>(cls - settings.classes.begin());
   ask.asked.tenant = static_cast<std::uint32_t>(tenant - settings.tenants.begin());
+  exchange->key = read.key;
   ask.asked.time_left = std::chrono::milliseconds(read.wait_ms);
   ask.asked.data_group = sql::table_group(frame.body).value_or(0);
   shard_.take(exchange, std::move(ask));
--- a/tests/router/platform_test.cpp
+++ b/tests/router/platform_test.cpp
@@ -150,11 +150,13 @@
     return wire;
   }
   static std::string request(std::uint32_t stream, const std::string& id, const std::string& cls = "lookup",
-                             const std::string& tenant = "acme", const std::string& wait = "1500") {
+                             const std::string& tenant = "acme", const std::string& wait = "1500",
+                             const std::string& key = "") {
     std::string payload;
-    const std::vector<std::pair<std::string, std::string>> fields{
+    std::vector<std::pair<std::string, std::string>> fields{
         {"c", cls}, {"i", id}, {"d", wait}, {"t", tenant}};
-    put_u8(payload, 4);
+    if (!key.empty()) fields.emplace_back("k", key);
+    put_u8(payload, static_cast<unsigned>(fields.size()));
     for (const auto& [name, value] : fields) {
       put_u8(payload, static_cast<unsigned>(name.size()));
       payload += name;
@@ -250,6 +252,20 @@
   EXPECT_EQ(body_, "a\tb\tc\nd\te\tf\ng\th\ti\n");
 }
 
+TEST_F(Platform, TheKeyOfRepeatsPassesOnUnchangedAndOneThatIsNoHeaderValueIsRefused) {
+  const auto wire = client();
+  wire->deliver(request(1, id(1), "lookup", "acme", "1500", "a7-B"));
+  start(taken().back(), 0, 7);
+  dialled_[0]->connect();
+  EXPECT_NE(dialled_[0]->written.find("\r\nX-Replay-Key: a7-B\r\n"), std::string::npos)
+      << dialled_[0]->written;
+  wire->deliver(request(2, id(2), "lookup", "acme", "1500", "a\r\nX-Sort: load"));
+  EXPECT_EQ(answers(*wire), (std::vector<std::pair<std::uint32_t, int>>{{2, 1}}));
+  start(ask(wire, 3), 0, 8);
+  dialled_[1]->connect();
+  EXPECT_EQ(dialled_[1]->written.find("X-Replay-Key"), std::string::npos);
+}
+
 TEST_F(Platform, AFurtherAttemptWaitsUntilTheEngineHasGivenTheFirstUp) {
   const auto ticket = ask(client(), 1);
   start(ticket, 0, 7);
