A timer cancelled or set anew in the turn in which it is over calls no more

Seen in review: AsioTimer's handler asked for the error code alone. A wait that is over when its timer is cancelled or set again has its handler queued with success already, so it calls all the same (thread.cpp, AsioTimer::set): a connection that comes up in the very turn of its dial's limit sent its query and was then closed as silent. Mend: each wait has a number, and only the newest calls. Test: TEST(Timers, ...) forces the order on the reactor.

--- a/src/daemon/thread.cpp
+++ b/src/daemon/thread.cpp
@@ -129,19 +129,28 @@
 class AsioTimer final : public path::Timer {
  public:
   AsioTimer(Executor executor, std::function<void()> then)
-      : timer_(executor), then_(std::make_shared<std::function<void()>>(std::move(then))) {}
+      : timer_(executor), then_(std::make_shared<Then>(Then{std::move(then)})) {}
+  // A wait that is over can't be cancelled any more, though its handler has yet to run: its number tells.
   void set(Time moment) override {
     timer_.expires_at(at(moment));
-    timer_.async_wait([weak = std::weak_ptr(then_)](boost::system::error_code error) {
-      const auto then = weak.lock();  // gone with its timer
-      if (!error && then) (*then)();
-    });
+    timer_.async_wait(
+        [weak = std::weak_ptr(then_), number = ++then_->number](boost::system::error_code error) {
+          const auto then = weak.lock();  // gone with its timer
+          if (!error && then && then->number == number) then->call();
+        });
+  }
+  void cancel() override {
+    ++then_->number;
+    timer_.cancel();
   }
-  void cancel() override { timer_.cancel(); }
 
  private:
+  struct Then {
+    std::function<void()> call;
+    std::uint64_t number = 0;  // of the wait that counts
+  };
   SteadyTimer timer_;
-  std::shared_ptr<std::function<void()>> then_;
+  std::shared_ptr<Then> then_;
 };
 
 }  // namespace
--- /dev/null
+++ b/tests/router/timer_test.cpp
@@ -0,0 +1,41 @@
+// The daemon's timers on Asio: a wait that is over in the very turn in which it is cancelled.
+#include <gtest/gtest.h>
+
+#include <boost/asio/post.hpp>
+#include <thread>
+
+#include "daemon/thread.hpp"
+
+namespace heronwell::daemon {
+namespace {
+
+using namespace std::chrono_literals;
+
+TEST(Timers, OneThatIsCancelledOrSetAnewInTheTurnInWhichItIsOverDoesNotCall) {
+  config::Config config;
+  config.module.classes = {{.name = "lookup", .aim = 1s, .give_up = 4s}};
+  config.module.kinds = {{.name = "std", .cores = 1}};
+  path::Metrics metrics(router::class_names(config.module));
+  const router::Front front(config.module);
+  trace::Tracer tracer({}, nullptr);
+  for (const bool anew : {false, true}) {
+    Thread thread(config, metrics, front, tracer, 0);
+    auto& context = thread.context();
+    int called = 0;
+    const auto timer = thread.timer([&] { ++called; });
+    timer->set(steady_now() + 1ms);
+    asio::post(context, [&] {
+      std::this_thread::sleep_for(5ms);
+      // The reactor looks between this and the next, and queues the call behind it.
+      asio::post(context, [&] {
+        if (anew) return timer->set(steady_now() + 1h);
+        timer->cancel();
+      });
+    });
+    context.run_for(50ms);
+    EXPECT_EQ(called, 0) << (anew ? "set anew" : "cancelled");
+  }
+}
+
+}  // namespace
+}  // namespace heronwell::daemon
