--- a/src/config/platform.cpp
+++ b/src/config/platform.cpp
@@ -95,7 +95,7 @@
   const auto& ceilings = need(settings, "ceilings");
   const auto span = [&ceilings](const char* key, Time otherwise) {
     const auto found = ceilings.is_object() ? ceilings.find(key) : ceilings.end();
-    return found != ceilings.end() && found->is_number()
+    return found != ceilings.end() && found->is_number() && found->get<double>() > 0  // 0: not told
                ? Time(static_cast<std::int64_t>(found->get<double>()))
                : otherwise;
   };
--- a/src/daemon/lists.cpp
+++ b/src/daemon/lists.cpp
@@ -28,7 +28,11 @@
 
 ListSource::ListSource(Executor executor, const config::Config& config,
                        std::function<void(path::Listed)> tell)
-    : executor_(executor), config_(config), tell_(std::move(tell)), timer_(executor) {}
+    : executor_(executor),
+      config_(config),
+      tell_(std::move(tell)),
+      timer_(executor),
+      spread_(static_cast<std::minstd_rand::result_type>(config.seed.value_or(1))) {}
 
 void ListSource::start() {
   asio::co_spawn(
@@ -107,6 +111,7 @@
 asio::awaitable<void, Executor> ListSource::watch_bus() {
   using namespace std::chrono_literals;
   constexpr Time kHold = 1s, kSlack = 700ms, kLeast = 50ms, kMost = 500ms;
+  constexpr int kParts = 1000;
   bus_ = config_.platform->bus;
   Time wait = kLeast;
   if (events_.take(config_.platform->known)) tell_({false, events_.entries()});
@@ -129,7 +134,7 @@
     }
     if (at != *bus_) continue;  // it has moved: the new one is asked at once
     say("bus_failed", fmt::format("{}:{}: {}", at.host, at.port, failure));
-    co_await pause(wait);
+    co_await pause(wait / 2 + wait * (spread_() % kParts) / kParts);  // half of it to one and a half
     wait = std::min(wait * 2, kMost);
   }
 }
--- a/src/daemon/lists.hpp
+++ b/src/daemon/lists.hpp
@@ -5,6 +5,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <functional>
 #include <optional>
+#include <random>
 
 #include "bus/bus.hpp"
 #include "daemon/clock.hpp"
@@ -37,6 +38,7 @@
   bool stopped_ = false;
   bus::Events events_;
   std::optional<config::Address> bus_;
+  std::minstd_rand spread_;  // of tries made again: many routers lose their bus at once
 };
 
 }  // namespace heronwell::daemon
--- a/tests/protocol/platform_test.cpp
+++ b/tests/protocol/platform_test.cpp
@@ -210,6 +210,17 @@
   }
 }
 
+TEST(Bus, AWholeListMakesUpForEventsThatAreMissing) {
+  bus::Events events;
+  ASSERT_TRUE(events.take(batch(1, event(1, true, host("a", "up")))));
+  EXPECT_THROW(events.take(batch(9, event(9, false, host("b", "up")))), std::invalid_argument);
+  ASSERT_TRUE(
+      events.take(batch(9, event(8, true, host("c", "up")) + "," + event(9, false, host("d", "up")))));
+  EXPECT_EQ(events.offset(), 9U);
+  ASSERT_EQ(events.entries().size(), 2U);
+  EXPECT_EQ(events.entries()[0].name, "c");
+}
+
 TEST(TableGroup, IsTheNumberOfTheSchemaAndOfNothingElse) {
   const auto group = [](const char* text) { return sql::table_group(text).value_or(-1); };
   EXPECT_EQ(group("select * from sales_17.orders"), 17);
