A repeat of a keyed query is not sent past the time in which engines drop it

Seen in review, with windows of 0.9 s as deploy/sites/tight has them: the module allows a repeat when it decides, but the router may send it later: it waits up to 2.05 s until an earlier attempt is given up, for a descriptor, or for a dial that comes up late (shard.cpp: giving_up_, starved_; call.cpp: connected). Engines drop repeats for the window alone, so one sent after it runs twice. Checked: the same holds for no other rule, as drains, deadlines and the client's leaving are looked at again before the first byte. Mend: the module's Send says by when a repeat must begin (its own rule, its first attempt that may have run, less its tick), and Shard::may_begin asks at every start. Tests: Effects.ARepeatOfAKeyed..., Platform.ARepeatIsNotSent...

--- a/include/heronwell/gateway.hpp
+++ b/include/heronwell/gateway.hpp
@@ -175,7 +175,8 @@
 struct Send {
   RequestId request = 0;
   EngineId engine = 0;
-  Time until{};  // clock time at which the attempt is given up
+  Time until{};           // clock time at which the attempt is given up
+  Time by = Time::max();  // not begun after this: engines drop repeats for a time only
 };
 struct CallOff {
   RequestId request = 0;
--- a/src/decide/choice.cpp
+++ b/src/decide/choice.cpp
@@ -366,13 +366,20 @@
     return among(set(request).zones, engine.entry.zone) && among(set(request).kinds, engine.entry.kind);
   }
 
+  // How long a repeat may begin: engines drop repeats for a time after the first attempt that may have run.
+  Time repeat_by(const Request& request) const {
+    const auto ran = std::ranges::find_if_not(request.attempts, &Attempt::proven_unrun);
+    if (set(request).effect != Effect::keyed || ran == request.attempts.end()) return Time::max();
+    return ran->sent + set(request).window - kTick;
+  }
+
   bool repeat_allowed(const Request& request, const Engine& engine) const {
     if (set(request).effect == Effect::safe) return true;
     for (const auto& attempt : request.attempts) {
       if (attempt.proven_unrun()) continue;
       if (set(request).effect == Effect::unsafe) return false;
       const auto group = set(request).group;
-      return now_ + kTick < attempt.sent + set(request).window &&
+      return now_ < repeat_by(request) &&
              (group == RepeatGroup::all ||
               (group == RepeatGroup::zone && attempt.zone == engine.entry.zone) ||
               (group == RepeatGroup::cell && attempt.cell == engine.entry.cell));
@@ -441,7 +448,8 @@
     }
     if (!request.attempts.empty()) further_.push_back(now_);
     if (s_.grants || s_.priorities) put(Terms{request.asked.request, grant(request), priority(request)});
-    put(Send{request.asked.request, engine.entry.engine, request.deadline - kAnswerEarly});
+    put(Send{request.asked.request, engine.entry.engine, request.deadline - kAnswerEarly,
+             repeat_by(request)});
     engine.turn_left -= cold_work(request);
     if (engine.out.empty()) engine.heard = now_;
     engine.out.insert({request.asked.request, static_cast<AttemptIndex>(request.attempts.size())});
--- a/src/path/call.cpp
+++ b/src/path/call.cpp
@@ -91,8 +91,7 @@
     if (attempt->sent > Time::zero()) attempt = nullptr;  // begun on a connection that came up before
   }
   const bool started = attempt && attempt->sent > Time::zero();
-  if (attempt && !started &&
-      (attempt->over() || !fit || attempt->until <= shard_.now() || !shard_.wanted(*attempt))) {
+  if (attempt && !started && (attempt->over() || !fit || !shard_.may_begin(*attempt))) {
     shard_.end_attempt(attempt, calls::judge(calls::Seen::not_written));
     attempt = nullptr;
   }
--- a/src/path/exchange.hpp
+++ b/src/path/exchange.hpp
@@ -137,6 +137,7 @@
   AttemptIndex number = 0;
   EngineId engine = 0;
   Time started{}, until{}, sent{};  // sent: first byte of the statement; zero: none
+  Time by = Time::max();            // it is not sent after this
   bool dialled = false;             // on a connection opened for it
   ExchangePtr exchange;
   std::shared_ptr<const sql::Statement> statement;
--- a/src/path/shard.cpp
+++ b/src/path/shard.cpp
@@ -306,6 +306,7 @@
   attempt->number = order.attempt;
   attempt->engine = order.engine;
   attempt->until = order.until;
+  attempt->by = order.by;
   attempt->exchange = exchange(order.ticket);
   if (!attempt->exchange)
     return end_attempt(attempt, sql::Seen::not_written);  // its client has left just now
@@ -372,7 +373,7 @@
   auto* pool = this->pool(attempt->engine);
   // The engine may have been drained since it was chosen, and the time may be over: this thread may have been
   // away between the choice and now.
-  if (pool == nullptr || !pool->fit || attempt->until <= attempt->started || !wanted(*attempt))
+  if (pool == nullptr || !pool->fit || !may_begin(*attempt))
     return end_attempt(attempt, sql::Seen::not_written);
   if (world_.carry(attempt)) return;
   attempt->address = pool->address;
@@ -458,7 +459,7 @@
 
 void Shard::dial_beside(const AttemptPtr& attempt) {
   auto* pool = this->pool(attempt->engine);
-  if (pool != nullptr && pool->fit && wanted(*attempt) && linked() < pool_cap_) connect(*pool, attempt);
+  if (pool != nullptr && pool->fit && may_begin(*attempt) && linked() < pool_cap_) connect(*pool, attempt);
 }
 
 void Shard::ask_again(const AttemptPtr& attempt) {
--- a/src/path/shard.hpp
+++ b/src/path/shard.hpp
@@ -92,9 +92,11 @@
   // A request of this id was left by its client after it had been sent to an engine that may have run it, and
   // its class does not let it run again.
   [[nodiscard]] bool may_have_run(const std::string& id) const { return left_unsafe_.contains(id); }
-  // Whether an answer of the attempt's request is still awaited by anyone.
-  [[nodiscard]] bool wanted(const Attempt& attempt) const {
-    return attempt.ticket == 0 || exchanges_.contains(attempt.ticket);
+  // Whether the attempt may still be sent: its request is awaited by anyone, and its times are not over.
+  [[nodiscard]] bool may_begin(const Attempt& attempt) const {
+    const auto now = this->now();
+    return (attempt.ticket == 0 || exchanges_.contains(attempt.ticket)) && now < attempt.until &&
+           now <= attempt.by;
   }
   [[nodiscard]] std::size_t open() const { return exchanges_.size(); }
   void forget(std::uint64_t client) { clients_.erase(client); }
--- a/src/router/host.cpp
+++ b/src/router/host.cpp
@@ -336,7 +336,7 @@
   ++counters_.sends;
   if (n > 0) ++counters_.further;
   out.emplace_back(StartAttempt{request.ticket, static_cast<AttemptIndex>(n), send.engine, until,
-                                request.terms, std::move(before)});
+                                request.terms, std::move(before), send.by});
 }
 
 void Host::carry_out(Time now, const Action& action, std::vector<Command>& out) {
--- a/src/router/host.hpp
+++ b/src/router/host.hpp
@@ -61,6 +61,7 @@
   Time until{};
   std::optional<Terms> terms;
   std::optional<Knew> knew;
+  Time by = Time::max();  // not begun after this
 };
 struct StopAttempt {  // cancel it at the engine, or drop it while dialling; its end is told all the same
   Ticket ticket = 0;
--- a/tests/decide/rules_test.cpp
+++ b/tests/decide/rules_test.cpp
@@ -111,6 +111,19 @@
   }
 }
 
+TEST(Effects, ARepeatOfAKeyedRequestTellsByWhenItMustBegin) {
+  Drive d(plain_settings());
+  d.list({engine(7, 0)});
+  const auto began = d.now;
+  d.ask(1, kKeyed);
+  EXPECT_EQ(d.sends.back().by, Time::max()) << "nothing has run";
+  d.until(d.now + 300ms);
+  d.ends(1, 0, 7, Result::error);
+  ASSERT_EQ(d.sends_of(1), 2);
+  EXPECT_LT(d.sends.back().by, began + 2s);
+  EXPECT_GT(d.sends.back().by, began + 1900ms);
+}
+
 TEST(Effects, NeverTwoAttemptsOut) {
   Settings s = plain_settings();
   s.progress_pace = 500ms;
--- a/tests/router/platform_test.cpp
+++ b/tests/router/platform_test.cpp
@@ -379,6 +379,26 @@
   EXPECT_EQ(ends(), (std::vector{Result::served, Result::moot}));
 }
 
+TEST_F(Platform, ARepeatIsNotSentPastTheTimeInWhichEnginesDropIt) {
+  const auto ticket = ask(client(), 1);
+  start(ticket, 0, 7);
+  dialled_[0]->connect();
+  order(router::Command(router::StopAttempt{ticket, 0}));
+  router::StartAttempt repeat{ticket, 1, 8, now_ + 10s, {}, {}};
+  repeat.by = now_ + 900ms;
+  order(router::Command(repeat));
+  until(now_ + 3s);  // the first is silent: it is given up when the engine must have forgotten it
+  EXPECT_TRUE(std::ranges::none_of(dialled_, [](auto& wire) { return wire->to.host == "127.0.0.8"; }));
+  EXPECT_EQ(ends(), (std::vector{Result::called_off, Result::moot}));
+  const auto other = ask(client(), 2);
+  router::StartAttempt late{other, 0, 8, now_ + 10s, {}, {}};
+  late.by = now_ + 50ms;
+  order(router::Command(late));
+  now_ += 60ms;
+  dialled_.back()->connect();
+  EXPECT_TRUE(dialled_.back()->written.empty());
+}
+
 TEST_F(Platform, AfterAnAbsenceWhatClientsSentIsReadBeforeAnythingStarts) {
   const auto wire = client();
   const auto ticket = ask(wire, 1);
