Told to end, the module itself answers all that is open; less state, simpler

Seen on rereading: Host::answer_all chose between refused and failed and set the pause, which the module's finish() does by its own rule; the host decides nothing. Also: the count of dialled removals is derived, not kept; bus.cpp's check for missing events stands where it stood; without a seed in the configuration the bus's tries are spread by chance (all routers had 1).

--- a/include/heronwell/gateway.hpp
+++ b/include/heronwell/gateway.hpp
@@ -157,6 +157,7 @@
   RequestId request = 0;
 };
 struct Wake {};
+struct Closing {};  // the process ends: all that is open gets its answer now
 struct ProbeResult {
   EngineId engine = 0;
   Result result = Result::served;
@@ -168,7 +169,8 @@
   std::string bytes;
 };
 
-using Event = std::variant<Listing, Arrival, Note, Outcome, ClientLeft, Wake, ProbeResult, PeerMessage>;
+using Event =
+    std::variant<Listing, Arrival, Note, Outcome, ClientLeft, Wake, ProbeResult, PeerMessage, Closing>;
 
 // ---- actions ------------------------------------------------------------------------------------------
 
--- a/src/bus/bus.cpp
+++ b/src/bus/bus.cpp
@@ -78,23 +78,20 @@
     const auto number = whole(one, "offset", place, 1ULL << 62);
     if (number <= offset) continue;  // repeated
     const auto topology = one.find("topology");
-    const auto gap = [&](bool whole) {
-      if (!whole && number != offset + 1 && offset != 0)
-        wrong(place + ".offset", "the next number: events are missing");
-      offset = number;
-    };
-    if (topology == one.end()) {  // an event of another kind
-      gap(false);
-      continue;
-    }
+    // A whole list makes up for all that is missing.
+    const bool all =
+        topology != one.end() && topology->is_object() && topology->value("whole", Json()) == true;
+    if (!all && number != offset + 1 && offset != 0)
+      wrong(place + ".offset", "the next number: events are missing");
+    offset = number;
+    if (topology == one.end()) continue;  // an event of another kind
     if (!topology->is_object()) wrong(place + ".topology", "an object");
     const auto is_whole = topology->find("whole");
     if (is_whole == topology->end() || !is_whole->is_boolean())
       wrong(place + ".topology.whole", "true or false");
     const auto hosts = topology->find("hosts");
     if (hosts == topology->end() || !hosts->is_array()) wrong(place + ".topology.hosts", "a list");
-    gap(is_whole->get<bool>());  // a whole list makes up for all that is missing
-    if (is_whole->get<bool>()) engines.clear();
+    if (all) engines.clear();
     for (std::size_t h = 0; h < hosts->size(); ++h) {
       auto entry = read_host((*hosts)[h], fmt::format("{}.topology.hosts[{}]", place, h));
       if (entry.state == EngineState::gone)
--- a/src/daemon/decisions.cpp
+++ b/src/daemon/decisions.cpp
@@ -58,8 +58,8 @@
   if (peers_) peers_->close(ignored);
 }
 
-void Decisions::answer_all() {
-  strand_.answer_all();
+void Decisions::closing() {
+  strand_.closing();
   arm();
 }
 
--- a/src/daemon/decisions.hpp
+++ b/src/daemon/decisions.hpp
@@ -22,7 +22,7 @@
   Inbox& inbox() { return inbox_; }
   void start(std::vector<Thread*> threads);
   void stop();
-  void answer_all();  // all that is open, as the process ends
+  void closing();  // the process ends: all that is open is answered
   void follow(config::Address bus) { lists_.follow(std::move(bus)); }
   void on_ready(std::function<void()> then) { strand_.on_ready(std::move(then)); }
 
--- a/src/daemon/lists.cpp
+++ b/src/daemon/lists.cpp
@@ -32,7 +32,7 @@
       config_(config),
       tell_(std::move(tell)),
       timer_(executor),
-      spread_(static_cast<std::minstd_rand::result_type>(config.seed.value_or(1))) {}
+      spread_(config.seed ? static_cast<unsigned>(*config.seed) : std::random_device()()) {}
 
 void ListSource::start() {
   asio::co_spawn(
--- a/src/daemon/server.cpp
+++ b/src/daemon/server.cpp
@@ -23,11 +23,10 @@
 using Acceptor = asio::basic_socket_acceptor<asio::ip::tcp, Executor>;
 constexpr auto kAcceptPause = 50ms;  // when out of file descriptors
 // On the platform, after SIGTERM:
-constexpr auto kDrain = 800ms;  // requests still come
-constexpr Time kKillDeadline =
-    3s;  // the longest deadline, or this where that is longer, and so much more after
-constexpr Time kKillSlack = 700ms;  // it the process may be killed
-constexpr Time kKillEarly = 200ms;  // before that all is answered
+constexpr auto kDrain = 800ms;      // requests still come
+constexpr Time kKillDeadline = 3s;  // the process may be killed after its longest deadline, or this if less,
+constexpr Time kKillSlack = 700ms;  // and so much more;
+constexpr Time kKillEarly = 200ms;  // so long before that, all is answered
 constexpr Time kLastWords = 150ms;  // for answers to be read and given-up attempts to be told of
 
 void raise_file_limit() {
@@ -136,7 +135,7 @@
     const bool owed = metrics.open->Value() > 0 || metrics.graphql_open->Value() > 0;
     if (owed && steady_now() < until) return soon([this, until] { await_end(until); });
     if (!config.platform) return end();
-    if (owed) decisions->answer_all();
+    if (owed) decisions->closing();
     acceptor->close();
     // Its one thread is this one; the answers pass through its mailbox first.
     asio::post(threads.front()->context(), [this] {
--- a/src/decide/choice.cpp
+++ b/src/decide/choice.cpp
@@ -300,6 +300,10 @@
     if (auto* request = find(left.request); request != nullptr && request->open) close(*request);
   }
 
+  void on(const Closing&) {
+    for (const auto& [at, id] : std::set(deadlines_)) finish(requests_.at(id));
+  }
+
   Request* find(RequestId id) {
     const auto found = requests_.find(id);
     return found == requests_.end() ? nullptr : &found->second;
--- a/src/path/call.cpp
+++ b/src/path/call.cpp
@@ -324,7 +324,6 @@
 void CallRemoval::dial() {
   if (!shard_.removal_room()) return timer_->set(std::min(until_, shard_.now() + kRemoveTurn));
   connected_ = false;
-  shard_.removal_dialled(1);
   out_.clear();
   calls::put_delete(out_, host_of(address_), id_);
   timer_->set(std::min(until_, shard_.now() + shard_.config().engines.dial_timeout));
@@ -358,7 +357,6 @@
   if (!wire_) return;
   wire_->close(reset);
   wire_ = nullptr;
-  shard_.removal_dialled(-1);
 }
 
 void CallRemoval::tick() {
--- a/src/path/call.hpp
+++ b/src/path/call.hpp
@@ -68,6 +68,7 @@
   CallRemoval(Shard& shard, std::uint64_t number, const Attempt& attempt);
   void dial();
   void abandon();
+  [[nodiscard]] bool dialled() const { return wire_ != nullptr; }
 
   void connected() override;
   void received(std::string_view bytes) override;
--- a/src/path/shard.cpp
+++ b/src/path/shard.cpp
@@ -473,6 +473,11 @@
   connect(*pool, attempt);
 }
 
+bool Shard::removal_room() const {
+  const auto dialled = [](const auto& one) { return one.second->dialled(); };
+  return static_cast<std::size_t>(std::ranges::count_if(removals_, dialled)) < removals_cap_;
+}
+
 void Shard::remove(const AttemptPtr& attempt) {
   if (!attempt->exchange) return;  // a probe leaves nothing running
   ++giving_up_[attempt->exchange->id].attempts;
--- a/src/path/shard.hpp
+++ b/src/path/shard.hpp
@@ -59,8 +59,7 @@
   void remove(const AttemptPtr& attempt);
   void removed(std::uint64_t number, const std::string& id);
   // Whether one more connection may be opened to give an attempt up.
-  [[nodiscard]] bool removal_room() const { return removals_dialled_ < removals_cap_; }
-  void removal_dialled(int more) { removals_dialled_ += static_cast<std::size_t>(more); }
+  [[nodiscard]] bool removal_room() const;
   // A further connection for an attempt whose first is late to come up.
   void dial_beside(const AttemptPtr& attempt);
   void note(const AttemptPtr& attempt, const sql::ErrorText& notice);
@@ -89,8 +88,8 @@
   [[nodiscard]] bool stopping() const { return stopping_; }
   [[nodiscard]] bool ready() const;  // an engine is listed as ready, and this router goes on serving
   [[nodiscard]] bool id_open(const std::string& id) const { return ids_.contains(id); }
-  // A request of this id was left by its client after it had been sent to an engine that may have run it, and
-  // its class does not let it run again.
+  // A request of this id was left by its client after an attempt of it had been commanded, which may have
+  // run, and its class does not let it run again.
   [[nodiscard]] bool may_have_run(const std::string& id) const { return left_unsafe_.contains(id); }
   // Whether the attempt may still be sent: its request is awaited by anyone, and its times are not over.
   [[nodiscard]] bool may_begin(const Attempt& attempt) const {
@@ -158,7 +157,7 @@
   std::map<std::uint64_t, std::shared_ptr<CancelRequest>> cancels_;
   std::map<std::uint64_t, std::shared_ptr<CallRemoval>> removals_;
   // Of the descriptors: for calls that give attempts up, and for clients' connections that are ending.
-  std::size_t removals_cap_ = 1, removals_dialled_ = 0, ending_cap_ = 1;
+  std::size_t removals_cap_ = 1, ending_cap_ = 1;
   // By the client's id: how many attempts the engines have yet to give up, and an attempt that waits for
   // that. A client may send an id again while what it left of it is still being given up.
   struct GivingUp {
--- a/src/path/strand.cpp
+++ b/src/path/strand.cpp
@@ -86,8 +86,8 @@
   } while (host_.next_due() <= Time::zero());
 }
 
-void Strand::answer_all() {
-  host_.answer_all();
+void Strand::closing() {
+  host_.closing();
   run();
 }
 
--- a/src/path/strand.hpp
+++ b/src/path/strand.hpp
@@ -37,8 +37,8 @@
   // Calls `then` once, when the first list with a ready engine is in force.
   void on_ready(std::function<void()> then) { ready_ = std::move(then); }
 
-  void answer_all();  // every open request, as the process ends
-  void measure();     // gauges and schedules; every half second or so
+  void closing();  // the process ends: all that is open is answered
+  void measure();  // gauges and schedules; every half second or so
   // What people see of the groups, made in pieces, so that a large tree holds up no decision. False: the
   // last.
   bool scan_groups();
--- a/src/router/host.cpp
+++ b/src/router/host.cpp
@@ -192,6 +192,7 @@
   events_.emplace_back(Note{id, attempt, request->attempts[attempt].engine, kind, amount});
 }
 
+void Host::closing() { events_.emplace_back(Closing{}); }
 void Host::listing(Listing list) { events_.emplace_back(std::move(list)); }
 void Host::probed(EngineId engine, Result result, Time latency, std::vector<double> load) {
   events_.emplace_back(ProbeResult{engine, result, latency, std::move(load)});
@@ -257,25 +258,13 @@
   for (const auto& [id, limit] : groups_->over()) {
     auto& request = requests_.at(id);
     if (request.state != RequestState::held && request.state != RequestState::out) continue;
-    give_up(id, request, comes_back(limit) ? settings_.max_retry_after : Time::zero(), limit);
+    const auto ending = may_refuse(request) ? Ending::refused : Ending::failed;
+    events_.emplace_back(ClientLeft{id});
+    settle(id, request, ending, comes_back(limit) ? settings_.max_retry_after : Time::zero(), early_, limit);
+    for (std::size_t n = 0; n < request.attempts.size(); ++n) stop_attempt(request, n, early_);
   }
 }
 
-// Answered here, without the module's word, which hears that the client has left.
-void Host::give_up(RequestId id, Request& request, Time pause, groups::Limit limit) {
-  const auto ending = may_refuse(request) ? Ending::refused : Ending::failed;
-  events_.emplace_back(ClientLeft{id});
-  settle(id, request, ending, pause, early_, limit);
-  for (std::size_t n = 0; n < request.attempts.size(); ++n) stop_attempt(request, n, early_);
-}
-
-void Host::answer_all() {
-  const auto pause = settings_.retry_after ? settings_.max_retry_after : Time::zero();
-  for (auto& [id, request] : requests_)
-    if (request.state == RequestState::held || request.state == RequestState::out)
-      give_up(id, request, pause, groups::Limit::none);
-}
-
 // Bounded in bytes: the more gateways there are, the rarer.
 void Host::tell_groups(Time now, std::vector<Command>& out) {
   using namespace std::chrono_literals;
--- a/src/router/host.hpp
+++ b/src/router/host.hpp
@@ -145,8 +145,8 @@
   void probed(EngineId engine, Result result, Time latency, std::vector<double> load);
   void peer(std::uint32_t from, std::string bytes);
 
-  // The process ends before these are over: every open request gets its answer with the next run().
-  void answer_all();
+  // The process ends before these are over: the module answers all that is open with the next run().
+  void closing();
 
   // Hands all that happened to the module, in one call, and appends what to do. `now` never goes back.
   void run(Time now, std::vector<Command>& out);
@@ -190,7 +190,6 @@
   [[nodiscard]] bool may_refuse(const Request& request) const;
   void look_at_groups(Time now);
   void enforce_limits();
-  void give_up(RequestId id, Request& request, Time pause, groups::Limit limit);
   void tell_groups(Time now, std::vector<Command>& out);
   void carry_out(Time now, const Action& action, std::vector<Command>& out);
   void send(Time now, const Send& send, std::vector<Command>& out);
--- a/tests/router/host_test.cpp
+++ b/tests/router/host_test.cpp
@@ -61,7 +61,7 @@
     run();
     ASSERT_EQ(all<StartAttempt>().size(), 1U);
     arrive(8);
-    host->answer_all();
+    host->closing();
     run();
     const auto answers = all<Answer>();
     ASSERT_EQ(answers.size(), 2U);
