Five worlds of the explorer on the platform's sides: frames, calls, queries that no connection owns

Need: the orders of events between clients' ends, lost connections, calls that give up, late dials and drains were tried by hand alone (issue: rare moments). One more property: nothing is begun for a client whose end was read. The connections of a world have a header of their own.

--- a/src/explore/properties.cpp
+++ b/src/explore/properties.cpp
@@ -82,6 +82,10 @@
   if (found != statements_.end() && found->second.ran > 0) --found->second.ran;
 }
 
+void Properties::begun_for_nobody(const std::string& id) {
+  fails("nothing is begun for a client whose end was read", id);
+}
+
 void Properties::written_past_end(std::uint16_t engine) {
   fails("nothing is written to a connection whose end has come", engine_name(engine) + " had closed it");
 }
--- a/src/explore/properties.hpp
+++ b/src/explore/properties.hpp
@@ -50,6 +50,7 @@
   };
   void statement_sent(const Sent& sent);  // its first whole message has gone out to the engine
   void never_began(const std::string& statement);
+  void begun_for_nobody(const std::string& statement);
   void written_past_end(std::uint16_t engine);
   void cancel_met(std::string_view meant, std::string_view met, bool same);
   // ---- what has reached the router ----------------------------------------------------------------------
--- a/src/explore/world.cpp
+++ b/src/explore/world.cpp
@@ -1,11 +1,11 @@
-#include "explore/world.hpp"
-
 #include <fmt/format.h>
 
 #include <algorithm>
 #include <array>
 #include <set>
 
+#include "explore/wire.hpp"
+
 namespace heronwell::explore {
 namespace {
 
@@ -112,83 +112,13 @@
 
 Setting::Setting(const Plan& given)
     : plan(given),
-      config(read(given)),
+      config(given.platform ? platform_config(given, kWindow) : read(given)),
       metrics(router::class_names(config.module)),
       front(config.module),
       tracer(config.trace, nullptr),
-      bound(path::bind_schema(config, kSchema, "explore")) {}
+      bound(given.platform ? nullptr : path::bind_schema(config, kSchema, "explore")) {}
 
 // ---- wires ---------------------------------------------------------------------------------------------
-struct Sim::WireState final : path::Wire {
-  enum class To { client, engine };
-  Sim* sim = nullptr;
-  std::uint16_t id = 0, shard = 0, peer = 0, ordinal = 0;
-  To to = To::client;
-  std::weak_ptr<path::WireUser> user;
-  bool connecting = false, reading = false, closed = false, room_wanted = false;
-  std::string to_router;
-  std::optional<Time> arrived;      // since when bytes of it wait, where a stall has hit them
-  bool end = false, reset = false;  // on their way to the router, after what waits
-  bool seen = false;                // that it is known to the router's kernel
-  std::size_t room = 0;             // where the client's side has a limit
-  bool gone = false;                // its end was read
-  Session session;
-  Hash transcript;
-
-  void log(std::string_view what, std::string_view bytes = {}) {
-    std::string line;
-    put(line, sim->now_);
-    put(line, what);
-    line += bytes;
-    mix(transcript, line);
-  }
-  void attach(std::weak_ptr<path::WireUser> given) override { user = std::move(given); }
-  std::optional<std::size_t> write(std::span<const std::string_view> pieces) override {
-    sim->footprint_.wire(id);
-    if (closed || (seen && reset)) return std::nullopt;
-    std::string bytes;
-    for (const auto piece : pieces) bytes += piece;
-    log("write", bytes);
-    if (to == To::engine && seen && end && !bytes.starts_with('X')) sim->properties_.written_past_end(peer);
-    if (reset || end) return bytes.size();  // it crosses the end, and nobody reads it
-    if (to == To::client) {
-      if (sim->setting_.plan.room > 0) bytes.resize(std::min<std::size_t>(bytes.size(), room));
-      room -= bytes.size();
-      sim->client_reads(*this, bytes);
-    } else {
-      session.in += bytes;
-      sim->engine_reads(*this);
-    }
-    return bytes.size();
-  }
-  void await_room() override {
-    sim->footprint_.wire(id);
-    room_wanted = true;
-  }
-  void read(bool on) override {
-    sim->footprint_.wire(id);
-    reading = on;
-  }
-  bool quiet() override {
-    sim->footprint_.wire(id);
-    return !(seen && (end || reset || !to_router.empty()));
-  }
-  void shut() override {
-    sim->footprint_.wire(id);
-    log("shut");
-    if (to == To::client) end = true, seen = true;  // its client closes in turn
-  }
-  void close(bool as_reset) override {
-    sim->footprint_.wire(id);
-    sim->footprint_.add(Footprint::properties);
-    log(as_reset ? "reset" : "close");
-    closed = true;
-    user.reset();
-    sim->properties_.wire_lost(id);
-    session.running.clear();
-  }
-};
-
 class SimTimer final : public path::Timer {
  public:
   explicit SimTimer(std::shared_ptr<Sim::TimerState> state) : state_(std::move(state)) {}
@@ -297,13 +227,14 @@
   const auto& plan = setting_.plan;
   strands_ = std::make_unique<Strands>(*this);
   strand_ = std::make_unique<path::Strand>(*strands_, setting_.config, setting_.metrics, 5, plan.shards);
-  graphql_ = std::make_unique<path::Graphql>(setting_.config, setting_.bound, [this] { return now_; });
+  if (!plan.platform)
+    graphql_ = std::make_unique<path::Graphql>(setting_.config, setting_.bound, [this] { return now_; });
   for (std::uint16_t i = 0; i < plan.shards; ++i) {
     worlds_.push_back(std::make_unique<ShardWorld>(*this, i));
     shards_.push_back(std::make_unique<path::Shard>(*worlds_[i], setting_.config, setting_.metrics,
                                                     setting_.front, setting_.tracer, i, plan.shards));
     worlds_[i]->built = true;
-    shards_[i]->serve(*graphql_);
+    if (graphql_) shards_[i]->serve(*graphql_);
   }
   strand_->run();
   told_.push_back({now_, listed()});
@@ -376,6 +307,7 @@
     entry.host = "127.0.0.1";
     entry.port = static_cast<std::uint16_t>(e + 1);
     entry.kind = "small";
+    if (setting_.plan.platform) entry.zone = "east";
     entry.state = draining_[e] ? EngineState::draining : EngineState::ready;
     listed.entries.push_back(std::move(entry));
   }
@@ -578,7 +510,7 @@
     if (wire->reading && wire->end && wire->to_router.empty()) put(Kind::over, wire->id, 0);
     if (wire->reading && wire->reset) put(Kind::over, wire->id, 1);
     if (wire->to != WireState::To::engine || wire->end || wire->reset) continue;
-    if (s.cancels != 0) {
+    if (s.cancels != 0 || !s.removes.empty()) {
       if (!s.cancel_read) put(Kind::cancel, wire->id);
       continue;
     }
@@ -588,15 +520,18 @@
       } else {
         if (s.hung || stands_still(*wire)) continue;
         if (hangs_ > 0) put(Kind::answer, wire->id, static_cast<unsigned>(Answering::never));
+        if (hangs_ > 0 && setting_.plan.platform)
+          put(Kind::answer, wire->id, static_cast<unsigned>(Answering::blocked));
         put(Kind::answer, wire->id, static_cast<unsigned>(Answering::whole));
         if (splits_ > 0) put(Kind::answer, wire->id, static_cast<unsigned>(Answering::half));
         if (failures_ > 0) {
-          put(Kind::answer, wire->id, static_cast<unsigned>(Answering::turned_away));
+          if (!setting_.plan.platform || s.posted)
+            put(Kind::answer, wire->id, static_cast<unsigned>(Answering::turned_away));
           put(Kind::answer, wire->id, static_cast<unsigned>(Answering::error));
         }
       }
       if (failures_ > 0) put(Kind::answer, wire->id, static_cast<unsigned>(Answering::reset));
-    } else if (s.ready && idle_closes_ > 0 && wire->to_router.empty()) {
+    } else if ((s.ready || s.statements > 0) && idle_closes_ > 0 && wire->to_router.empty()) {
       put(Kind::idle_close, wire->id, 0);
       put(Kind::idle_close, wire->id, 1);
     }
@@ -658,6 +593,7 @@
       return footprint_.add(Footprint::leaves);
     case Kind::refused:
       footprint_.add(Footprint::failures);
+      if (setting_.plan.platform) footprint_.add(Footprint::properties);
       return wire(choice.a);
     case Kind::deliver:
       if (choice.b == 1) footprint_.add(Footprint::splits);
@@ -673,9 +609,12 @@
       if (choice.b == static_cast<unsigned>(Answering::half)) footprint_.add(Footprint::splits);
       if (choice.b > static_cast<unsigned>(Answering::half)) footprint_.add(Footprint::failures);  // or hangs
       if (properties_.data_group(wires_[choice.a]->session.running) != 0) footprint_.all();
+      if (setting_.plan.platform)
+        footprint_.add(Footprint::properties);  // an engine's queries are no connection's
       return;
     case Kind::finish:
     case Kind::cancel:
+      if (setting_.plan.platform) footprint_.add(Footprint::properties);
       if (properties_.data_group(wires_[choice.a]->session.running) != 0) footprint_.all();
       return footprint_.wire(choice.a);
     case Kind::told:
@@ -721,11 +660,14 @@
       }
       const auto& asked = setting_.plan.clients[choice.a][client.sent++];
       std::string text;
+      if (setting_.plan.platform) text = request_frame(asked, static_cast<std::uint32_t>(client.sent));
       const auto timeout = std::to_string(asked.timeout.count());
       std::vector<http::Field> fields{{"heronwell-timeout-ms", timeout},
                                       {"connection", asked.keep_alive ? "keep-alive" : "close"}};
       if (!asked.key.empty()) fields.push_back({"idempotency-key", asked.key});
-      if (!asked.graphql.empty()) {
+      if (setting_.plan.platform) {
+        // a frame
+      } else if (!asked.graphql.empty()) {
         fields.push_back({"content-type", "application/json"});
         http::put_request(text, "POST", "/graphql", "a", "{\"query\":" + path::quoted(asked.graphql) + "}",
                           fields);
@@ -752,6 +694,7 @@
       client.left = true;
       auto& wire = *wires_[client.wire];
       (choice.b == 0 ? wire.end : wire.reset) = true;
+      if (setting_.plan.platform) wire.seen = true;  // it lies unread in the router's kernel
       return;
     }
     case Kind::connected: {
@@ -766,6 +709,7 @@
       auto& wire = *wires_[choice.a];
       wire.connecting = false;
       wire.log("refused");
+      if (setting_.plan.platform) wire.refused = true, process_gone(wire.peer);
       if (const auto user = wire.user.lock()) user->over(true);
       return;
     }
@@ -792,7 +736,7 @@
       wire->end = wire->reset = false;
       wire->gone = true;
       if (wire->to == WireState::To::engine) {
-        properties_.wire_lost(wire->id);
+        if (!setting_.plan.platform) properties_.wire_lost(wire->id);
         wire->session.running.clear();
       }
       if (const auto user = wire->user.lock()) user->over(choice.b == 1);
@@ -801,7 +745,14 @@
     case Kind::answer: {
       auto& wire = *wires_[choice.a];
       auto& s = wire.session;
-      switch (static_cast<Answering>(choice.b)) {
+      const auto how = static_cast<Answering>(choice.b);
+      if (setting_.plan.platform && how != Answering::never && how != Answering::reset) {
+        if (how == Answering::half) --splits_;
+        if (how == Answering::turned_away || how == Answering::error) --failures_;
+        if (how == Answering::blocked) --hangs_;
+        return answer_call(wire, how);
+      }
+      switch (how) {
         case Answering::whole:
           wire.to_router += answer_of(s);
           return ended(wire, false);
@@ -825,6 +776,8 @@
           --hangs_;
           s.hung = true;
           return;
+        case Answering::blocked:  // the platform's alone
+          return;
         case Answering::reset:
           --failures_;
           wire.reset = true;
@@ -837,7 +790,10 @@
     case Kind::finish: {
       auto& wire = *wires_[choice.a];
       wire.to_router += std::exchange(wire.session.half, {});
-      return ended(wire, false);
+      if (!setting_.plan.platform) return ended(wire, false);
+      query_over(wire.peer, wire.session.running, false);
+      wire.session.running.clear();
+      return;
     }
     case Kind::idle_close: {
       --idle_closes_;
@@ -849,6 +805,7 @@
     case Kind::cancel: {
       auto& wire = *wires_[choice.a];
       auto& s = wire.session;
+      if (setting_.plan.platform) return removal_read(wire);
       s.cancel_read = true;
       wire.end = true;
       auto& target = *named(s.cancels);
@@ -957,8 +914,8 @@
 void Sim::delivered(WireState& wire) {
   if (wire.to == WireState::To::client) {
     auto& client = clients_[wire.peer];
-    if (client.sent > 0 && client.rest.empty() && wire.to_router.empty()) {
-      for (std::size_t n = 0; n < client.sent; ++n)
+    if (wire.to_router.empty()) {
+      for (std::size_t n = 0; n + (client.rest.empty() ? 0 : 1) < client.sent; ++n)
         properties_.request_arrived(setting_.plan.clients[wire.peer][n].id, wire.arrived.value_or(now_));
     }
   } else if (wire.to_router.empty() && wire.session.running.empty() && !wire.session.ended.empty()) {
@@ -1012,6 +969,13 @@
     put(out, s.ended);
     put(out, s.half.size());
     put(out, s.cancel_target);
+    put(out, s.removes);
+    put(out, s.posted ? 1U : 0U);
+  }
+  for (const auto& [key, query] : queries_) {
+    put(out, static_cast<std::uint64_t>(key.first) << 1 | (query.ended ? 1U : 0U));
+    put(out, key.second);
+    put(out, query.asked);
   }
   put(out, strand_history_);
   for (const auto& told : told_) out += encoded(told);
@@ -1101,6 +1065,7 @@
     const auto& w = *wires_[id];
     if (w.to == WireState::To::client) return fmt::format("client {}", w.peer + 1);
     if (w.session.cancels != 0) return fmt::format("a cancel request to {}", engine_name(w.peer));
+    if (!w.session.removes.empty()) return fmt::format("a call that gives up to {}", engine_name(w.peer));
     return fmt::format("connection {} to {}", w.ordinal + 1, engine_name(w.peer));
   };
   const auto more = [this](std::uint16_t id) {
@@ -1132,12 +1097,13 @@
     case Kind::over:
       return fmt::format("the router reads the {} of {}", choice.b == 0 ? "end" : "reset", wire(choice.a));
     case Kind::answer: {
-      constexpr std::array<const char*, 6> how{"answers",
+      constexpr std::array<const char*, 7> how{"answers",
                                                "answers the first half of",
                                                "turns away (53300)",
                                                "answers an error to",
                                                "resets instead of answering",
-                                               "will never answer"};
+                                               "will never answer",
+                                               "is blocked by a load in"};
       return fmt::format("{} {}{} on {}", engine_name(wires_[choice.a]->peer), how.at(choice.b),
                          more(choice.a), wire(choice.a));
     }
--- a/src/explore/world.hpp
+++ b/src/explore/world.hpp
@@ -45,6 +45,7 @@
   std::string more{};      // of the router's configuration, YAML
   bool liar = false;       // engines answer with rows of another request: what the search must find
   bool pipelined = false;  // clients send their next request before an answer
+  bool platform = false;   // the operators' platform: frames from clients, calls to engines
   [[nodiscard]] bool graphql() const {
     for (const auto& client : clients)
       for (const auto& asked : client)
@@ -75,7 +76,7 @@
   reads,       // client a reads what has come, and has room again
   restart,     // the router dies, and another begins in its place
 };
-enum class Answering : std::uint8_t { whole, half, turned_away, error, reset, never };
+enum class Answering : std::uint8_t { whole, half, turned_away, error, reset, never, blocked };
 
 struct Choice {
   Kind kind = Kind::pass;
@@ -154,6 +155,14 @@
     std::uint32_t cancels = 0;        // of a cancel wire: the process it names,
     std::uint64_t cancel_target = 0;  // and its statement then
     bool cancel_read = false;
+    std::string removes;  // the platform's: the query that a call gives up
+    bool posted = false;  // its call starts the query, and does not ask for it
+  };
+  // A query of the platform's at its engine: no connection owns it.
+  struct Query {
+    std::uint16_t wire = 0;  // by which it was started
+    Time asked{};            // for, last
+    bool ended = false;
   };
   struct WireState;
   struct Client {
@@ -175,6 +184,14 @@
   void engine_reads(WireState& wire);
   void statement(WireState& wire, const std::string& text);
   void client_reads(WireState& wire, std::string_view bytes);
+  static std::string request_frame(const Asked& asked, std::uint32_t stream);
+  void client_reads_frames(WireState& wire, std::string_view bytes);
+  void engine_reads_calls(WireState& wire);
+  void answer_call(WireState& wire, Answering how);
+  void removal_read(WireState& wire);
+  void query_over(std::uint16_t engine, const std::string& id, bool proven_unrun);
+  void forget_unasked();
+  void process_gone(std::uint16_t engine);  // and all that it ran
   void ended(WireState& wire, bool proven_unrun);
   void delivered(WireState& wire);
   void pass(bool stalled);
@@ -204,7 +221,8 @@
   std::vector<std::vector<path::Order>> orders_;
   std::vector<Client> clients_;
   std::unique_ptr<path::Graphql> graphql_;
-  std::vector<bool> draining_;  // by engine
+  std::vector<bool> draining_;                                      // by engine
+  std::map<std::pair<std::uint16_t, std::string>, Query> queries_;  // by engine and id
   unsigned splits_, leaves_, failures_, drains_, idle_closes_, late_, stalls_, passes_, restarts_, returns_,
       hangs_;
   Properties properties_;
--- a/src/explore/worlds.cpp
+++ b/src/explore/worlds.cpp
@@ -218,6 +218,48 @@
                    .drains = 1,
                    .passes = 1,
                    .returns = 1});
+  plans.push_back(
+      {.name = "node",
+       .about = "the platform: a safe request, two engines; lost connections, a client that leaves",
+       .engines = 2,
+       .clients = {{{.id = "q1", .cls = "lookup"}}},
+       .leaves = 1,
+       .failures = 1,
+       .passes = 4,
+       .platform = true});
+  plans.push_back({.name = "node-unsafe",
+                   .about = "the platform: an unsafe request, two engines, failures and a drain",
+                   .engines = 2,
+                   .clients = {{{.id = "w1", .cls = "load"}}},
+                   .failures = 2,
+                   .drains = 1,
+                   .passes = 3,
+                   .platform = true});
+  plans.push_back({.name = "node-hang",
+                   .about = "the platform: an engine never answers a call; it is asked again, or given up",
+                   .engines = 2,
+                   .clients = {{{.id = "b1", .cls = "booking"}, {.id = "q1", .cls = "lookup"}}},
+                   .leaves = 1,
+                   .passes = 4,
+                   .hangs = 1,
+                   .platform = true});
+  plans.push_back({.name = "node-late",
+                   .about = "the platform: connections late to come up, others opened beside them",
+                   .clients = {{{.id = "q1", .cls = "lookup"}}},
+                   .leaves = 1,
+                   .late = 2,
+                   .passes = 3,
+                   .platform = true});
+  plans.push_back(
+      {.name = "node-pool",
+       .about = "the platform: requests at once on a connection, calls on a pooled one that may close",
+       .clients = {{{.id = "q1", .cls = "lookup"}, {.id = "w1", .cls = "load"}}},
+       .splits = 1,
+       .leaves = 1,
+       .idle_closes = 1,
+       .passes = 2,
+       .pipelined = true,
+       .platform = true});
   return plans;
 }
 
--- a/src/path/shard.cpp
+++ b/src/path/shard.cpp
@@ -128,7 +128,8 @@
 }
 
 Shard::Books Shard::books() const {
-  Books books{exchanges_.size(), attempts_.size(), 0, cancels_.size(), turn_, suspect_from_, suspect_until_};
+  Books books{exchanges_.size(), attempts_.size(), 0, cancels_.size() + removals_.size(), turn_,
+              suspect_from_,     suspect_until_};
   for (const auto& [id, pool] : pools_) books.idle += pool.idle.size();
   return books;
 }
