At the cap one that has just come goes last: its first request may be on the way

Seen: a new test on real sockets, a full router and one more client: its connection was ended before its request was read. Cause: those that never asked went first, and whoever has just connected never did; accept() now looks for room right after each one, which made it certain (before, with the next one to come). Lines: shard.cpp make_client_room, frame_client.cpp idle(). Mend: 150 ms long a newcomer goes after those that asked and are idle, whose end costs them a new connection only. Room is made before one is accepted, not after. Rooms renamed: end_idle_client, drop_ending_client.

--- a/src/path/frame_client.cpp
+++ b/src/path/frame_client.cpp
@@ -14,6 +14,7 @@
 constexpr std::size_t kDropped = 256 << 10;  // bytes read and dropped behind the last answer
 constexpr std::size_t kKept = 4 << 10;       // of buffers, on a quiet connection
 constexpr Time kLinger = 250ms;
+constexpr Time kNewcomer = 150ms;  // its first request may be on the way
 
 }  // namespace
 
@@ -269,7 +270,12 @@
 
 std::optional<ClientSide::Idle> FrameClient::idle() const {
   if (!open_.empty() || !out_.empty() || (spoke_ && !in_.empty())) return std::nullopt;
-  return Idle{spoke_ && state_ == Door::reading, active_, state_ != Door::reading};
+  using Turn = Idle::Turn;
+  const bool new_here = shard_.now() < began_ + kNewcomer;
+  return Idle{spoke_     ? Turn::asked
+              : new_here ? Turn::has_just_come
+                         : Turn::never_asked,
+              active_, state_ != Door::reading};
 }
 
 void FrameClient::close(DoorEvent why, bool reset) {
--- a/src/path/shard.cpp
+++ b/src/path/shard.cpp
@@ -86,7 +86,7 @@
 }
 
 void Shard::serve(WirePtr wire, std::string address) {
-  if (config_.platform && clients_.size() >= config_.listen.connections) make_client_room();
+  if (config_.platform && client_room() && clients_.size() >= config_.listen.connections) end_idle_client();
   const auto number = this->number();
   std::shared_ptr<ClientSide> client;
   if (config_.platform)
@@ -97,23 +97,32 @@
   client->start();
 }
 
-// At the cap a connection that is idle goes; one that never asked for anything first. It ends in order, which
-// takes it a moment: where many come at once, those that are ending go too.
-void Shard::make_client_room() {
+// At the cap a connection that is idle goes, in order, which takes it a moment.
+bool Shard::end_idle_client() {
   std::optional<ClientSide::Idle> least;
-  std::shared_ptr<ClientSide> longest, ending;
-  std::size_t ends = 0;
-  for (const auto& [number, client] : clients_) {
-    const auto idle = client->idle();
-    if (!idle) continue;
-    if (idle->ending) {
-      if (++ends == 1) ending = client;  // the first that came
-    } else if (!least || *idle < *least) {
-      std::tie(least, longest) = std::tuple(idle, client);
-    }
-  }
-  if (ending && (!longest || ends >= ending_cap_)) ending->make_room();
-  if (longest) longest->make_room();
+  std::shared_ptr<ClientSide> first;
+  for (const auto& [number, client] : clients_)
+    if (const auto idle = client->idle(); idle && !idle->ending && (!least || *idle < *least))
+      std::tie(least, first) = std::tuple(idle, client);
+  if (first) first->make_room();
+  return first != nullptr;
+}
+
+// Where many come at once, those that are ending go too, the one that came first before the others.
+bool Shard::drop_ending_client() {
+  const auto ending = [](const auto& one) {
+    const auto idle = one.second->idle();
+    return idle && idle->ending;
+  };
+  const auto found = std::ranges::find_if(clients_, ending);
+  if (found == clients_.end()) return false;
+  const auto client = found->second;
+  client->make_room();
+  return true;
+}
+
+void Shard::make_client_room() {
+  if (!drop_ending_client()) end_idle_client();
 }
 
 bool Shard::client_room() {
--- a/src/path/shard.hpp
+++ b/src/path/shard.hpp
@@ -126,6 +126,8 @@
   void on(const router::Answer& order);
   void on(const router::ProbeEngine& order);
   void update(const Fleet& fleet);
+  bool end_idle_client();
+  bool drop_ending_client();
   bool choose_group(const ExchangePtr& exchange, router::Ask& ask);
   void launch(const AttemptPtr& attempt);
   void later(const AttemptPtr& attempt, unsigned turns);
--- a/src/path/sides.hpp
+++ b/src/path/sides.hpp
@@ -17,9 +17,11 @@
   virtual void sweep(Time now) = 0;  // closes what passed its time
   virtual void stop() = 0;           // the router stops serving, or ends: closes in order
   virtual void abandon() = 0;        // the process ends
-  // Where it may be closed for want of descriptors: since when it is idle. Those that never asked come first.
+  // Where it may be closed for want of descriptors: who goes first, and since when it is idle. One that has
+  // just come goes last: its first request may be on the way.
   struct Idle {
-    bool asked = false;
+    enum class Turn : std::uint8_t { never_asked, asked, has_just_come };
+    Turn turn = Turn::asked;
     Time since{};
     bool ending = false;  // it is being closed, in order
     auto operator<=>(const Idle&) const = default;
--- a/tests/e2e/platform_test.cpp
+++ b/tests/e2e/platform_test.cpp
@@ -491,6 +491,34 @@
   EXPECT_EQ(ready(), 0);
 }
 
+// At the cap the connection that has been idle longest gives way. Its client's request crosses that: it reads
+// the end in order, and its request was sent to no engine, so that it may be sent again.
+TEST_F(Node, AConnectionThatGivesWayIsReadToItsEndAndWhatCrossesItIsSentOnNowhere) {
+  Engine engine(true);
+  Bus bus({{events(2, engine_at(engine.port()), false)}, {}});
+  start(bus.port(), "ulimit -n 64; ");
+  ASSERT_TRUE(becomes_ready());
+  std::vector<Client> idle;
+  for (int i = 0; i < 21; ++i) {  // of 64 descriptors
+    idle.emplace_back(port_);
+    idle.back().send(framed(16, 1, std::string(1, '\0')));
+    ASSERT_TRUE(idle.back().readable());
+  }
+  Client late(port_);
+  late.send(request(1, "9b1f03aa5c7e2d41", "900"));
+  EXPECT_EQ(answer(late), (std::map<std::uint32_t, int>{{1, 0}}));
+  // Unread until here: the first's answer, then its end. What it sends now finds a router that reads no more
+  // of it.
+  for (unsigned n = 2; n < 20; ++n) idle.front().send(request(n, fmt::format("{:016x}", n), "900"));
+  std::string read;
+  for (std::string some; !(some = idle.front().some(1s)).empty();) read += some;
+  EXPECT_EQ(read, framed(32, 1, std::string(2, '\0')) + framed(64, 0, "")) << "nothing was lost to a reset";
+  Client again(port_);
+  again.send(request(1, fmt::format("{:016x}", 2), "900"));
+  EXPECT_EQ(answer(again), (std::map<std::uint32_t, int>{{1, 0}}));
+  EXPECT_EQ(engine.calls("POST"), 2);
+}
+
 TEST_F(Node, ANewConfigurationThatCrossesADrainAndASilentWatchIsFollowedInTime) {
   Engine drains(true), serves(true);
   auto draining = engine_at(drains.port());
