--- a/tests/router/platform_test.cpp
+++ b/tests/router/platform_test.cpp
@@ -221,6 +221,18 @@
   void start(Ticket ticket, AttemptIndex n, EngineId engine) {
     order(router::Command(router::StartAttempt{ticket, n, engine, now_ + 1400ms, {}, {}}));
   }
+  // The client's end lies unread as the strand's word comes to start its request.
+  void expect_read_first(const HandWirePtr& wire, Ticket ticket) {
+    wire->unread = true;
+    std::vector<Order> orders;
+    orders.emplace_back(router::Command(router::StartAttempt{ticket, 0, 7, now_ + 1400ms, {}, {}}));
+    shard_.carry_out(orders);
+    EXPECT_TRUE(dialled_.empty());
+    wire->reset();
+    settle();
+    EXPECT_TRUE(dialled_.empty());
+    EXPECT_EQ(ends(), std::vector{Result::moot});
+  }
   static std::string response(const std::string& head, const std::string& body = "") {
     return "HTTP/1.1 " + head + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
   }
@@ -451,31 +463,15 @@
 TEST_F(Platform, AfterAnAbsenceWhatClientsSentIsReadBeforeAnythingStarts) {
   const auto wire = client();
   const auto ticket = ask(wire, 1);
-  now_ += 1s;  // no turn: the client's end lies unread, and so does the strand's word
-  wire->unread = true;
-  std::vector<Order> orders;
-  orders.emplace_back(router::Command(router::StartAttempt{ticket, 0, 7, now_ + 1400ms, {}, {}}));
-  shard_.carry_out(orders);
-  EXPECT_TRUE(dialled_.empty());
-  wire->reset();
-  settle();
-  EXPECT_TRUE(dialled_.empty());
-  EXPECT_EQ(ends(), std::vector{Result::moot});
+  now_ += 1s;
+  expect_read_first(wire, ticket);
 }
 
 TEST_F(Platform, WhereThisThreadWasOnlyBusyWhatClientsSentIsReadBeforeAnythingStartsToo) {
   const auto wire = client();
   const auto ticket = ask(wire, 1);
   until(now_ + 120ms);
-  wire->unread = true;  // its end has come in the turn that commands the start
-  std::vector<Order> orders;
-  orders.emplace_back(router::Command(router::StartAttempt{ticket, 0, 7, now_ + 1400ms, {}, {}}));
-  shard_.carry_out(orders);
-  EXPECT_TRUE(dialled_.empty());
-  wire->reset();
-  settle();
-  EXPECT_TRUE(dialled_.empty());
-  EXPECT_EQ(ends(), std::vector{Result::moot});
+  expect_read_first(wire, ticket);
 }
 
 TEST_F(Platform, AConnectionLateToComeUpStartsNothingBeforeWhatItsClientSentIsRead) {
