Two more crossings on real sockets: an id sent again as it is given up, a late connection and its client gone

Need: both were forced on hand-driven wires alone. The engine's answer to DELETE is withheld by the test; an engine's queue of new connections is full, so that the system itself brings them up late, after their clients left by type 8, end and reset.

--- a/tests/e2e/platform_test.cpp
+++ b/tests/e2e/platform_test.cpp
@@ -529,6 +529,109 @@
   EXPECT_EQ(engine.calls("POST"), 2);
 }
 
+// Calls arrive at `engine`, which answers when the test says so.
+class Held {
+ public:
+  explicit Held(int engine) : engine_(engine) {}
+  ~Held() {
+    for (const auto& [socket, call] : calls_) ::close(socket);
+  }
+  // The first bytes of the next call, on a connection of its own; empty: none came in time.
+  std::string next(std::chrono::milliseconds longest) {
+    pollfd one{engine_, POLLIN, 0};
+    if (::poll(&one, 1, static_cast<int>(longest.count())) <= 0) return "";
+    const int socket = ::accept(engine_, nullptr, nullptr);
+    pollfd readable{socket, POLLIN, 0};
+    std::string call(4096, '\0');
+    const auto got = ::poll(&readable, 1, 2000) > 0 ? ::recv(socket, call.data(), call.size(), 0) : 0;
+    call.resize(got > 0 ? static_cast<std::size_t>(got) : 0);
+    calls_.emplace_back(socket, call);
+    return call;
+  }
+  void answer(const std::string& bytes) const {
+    EXPECT_EQ(::send(calls_.back().first, bytes.data(), bytes.size(), MSG_NOSIGNAL),
+              static_cast<ssize_t>(bytes.size()));
+  }
+
+ private:
+  int engine_;
+  std::vector<std::pair<int, std::string>> calls_;
+};
+
+TEST_F(Node, AnIdSentAgainWhileItIsBeingGivenUpWaitsUntilItsEngineHasHeard) {
+  std::uint16_t port = 0;
+  const int engine = listening(port);
+  Bus bus({{events(2, engine_at(port), false)}, {}});
+  start(bus.port());
+  ASSERT_TRUE(becomes_ready());
+  Held held(engine);
+  const std::string id = "9b1f03aa5c7e2d41";
+  {
+    Client first(port_);
+    first.send(request(1, id, "900"));
+    ASSERT_TRUE(held.next(2s).starts_with("POST /x "));
+  }
+  ASSERT_TRUE(held.next(2s).starts_with("DELETE /x/" + id)) << "its client has left";
+  Client again(port_);
+  again.send(request(1, id, "900"));
+  EXPECT_EQ(held.next(200ms), "") << "that call would end the new one, or two would be out";
+  held.answer("HTTP/1.1 204 No Content\r\n\r\n");
+  ASSERT_TRUE(held.next(2s).starts_with("POST /x "));
+  held.answer("HTTP/1.1 200 OK\r\nX-Parts: 1\r\nContent-Length: 6\r\n\r\na\tb\tc\n");
+  EXPECT_EQ(answer(again), (std::map<std::uint32_t, int>{{1, 0}}));
+  ::close(engine);
+}
+
+// Connections to an engine whose queue of new ones is full come up late; by then their clients have left, by
+// each way of leaving.
+TEST_F(Node, AConnectionThatComesUpLateStartsNothingForAClientThatHasLeft) {
+  std::uint16_t port = 0;
+  const int engine = listening(port);
+  ASSERT_EQ(::listen(engine, 0), 0);
+  Bus bus({{events(2, engine_at(port), false)}, {}});
+  auto patient =
+      config(bus.port(), "", false);  // nothing may be called off: no word comes but the client's end
+  const std::string cancel = "\"cancel\":false";
+  patient.replace(patient.find(cancel), cancel.size(), cancel + ",\"dial-timeout\":9000000000");
+  const std::string times = "\"aim\":200000000,\"give-up\":1000000000";
+  patient.replace(patient.find(times), times.size(), "\"aim\":8000000000,\"give-up\":20000000000");
+  start_with(patient);
+  ASSERT_TRUE(becomes_ready());
+  std::vector<Client> fill;
+  fill.emplace_back(port);
+  std::vector<Client> leavers;
+  for (unsigned n = 0; n < 3; ++n) {
+    leavers.emplace_back(port_);
+    leavers.back().send(request(1, fmt::format("{:016x}", n), "15000"));
+  }
+  std::this_thread::sleep_for(300ms);
+  leavers[0].send(framed(8, 1, ""));
+  leavers[1].hang_up();
+  leavers[2].reset();
+  std::this_thread::sleep_for(100ms);
+  // The queue moves on: the connections that are late come up, and one client that stays is served.
+  Client stays(port_);
+  stays.send(request(1, fmt::format("{:016x}", 9), "15000"));
+  std::vector<pollfd> open{{engine, POLLIN, 0}};
+  std::string began, some(4096, '\0');
+  const auto from = std::chrono::steady_clock::now();
+  while ((began.empty() || open.size() < 5) && std::chrono::steady_clock::now() < from + 8s) {
+    if (::poll(open.data(), open.size(), 50) <= 0) continue;
+    if (open[0].revents != 0) open.push_back({::accept(engine, nullptr, nullptr), POLLIN, 0});
+    for (std::size_t i = 1; i < open.size(); ++i) {
+      if (open[i].revents == 0) continue;
+      const auto got = ::recv(open[i].fd, some.data(), some.size(), 0);
+      if (got <= 0) open[i].events = 0, ::close(std::exchange(open[i].fd, -1));
+      if (got > 0) began.append(some, 0, static_cast<std::size_t>(got));
+    }
+  }
+  EXPECT_GE(open.size(), 5U) << "beside the one that filled the queue three for those that left";
+  ASSERT_TRUE(began.starts_with("POST /x ")) << began;
+  EXPECT_NE(began.find(fmt::format("{:016x}", 9)), std::string::npos) << began;
+  EXPECT_EQ(began.find("POST", 1), std::string::npos) << began;
+  for (const auto& one : open) ::close(one.fd);
+}
+
 // An engine that reads slowly: most of a large start lies in the router's own system when its client leaves.
 TEST_F(Node, AStartThatIsOnItsWayWhenItsClientLeavesNeverArrivesWhole) {
   std::uint16_t port = 0;
--- a/tests/e2e/rig.hpp
+++ b/tests/e2e/rig.hpp
@@ -63,6 +63,11 @@
   void hang_up() {
     if (socket_ >= 0) ::close(std::exchange(socket_, -1));
   }
+  void reset() {
+    const linger at_once{1, 0};
+    ::setsockopt(socket_, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+    hang_up();
+  }
   // Some bytes; empty: none came in time, or the end, which closed() tells.
   std::string some(std::chrono::milliseconds longest = 5s, std::size_t most = 65536) {
     pollfd one{socket_, POLLIN, 0};
