--- a/tests/router/platform_test.cpp
+++ b/tests/router/platform_test.cpp
@@ -781,6 +781,24 @@
   EXPECT_EQ(ends(), std::vector{Result::reset});
 }
 
+TEST_F(Platform, AnAnswerThatNeverEndsCostsItsConnectionWithinItsBoundAndNotTheQuery) {
+  start(ask(client(), 1), 0, 7);
+  dialled_[0]->connect();
+  dialled_[0]->deliver("HTTP/1.1 200 OK\r\n");
+  std::size_t sent = 0;
+  for (; !dialled_[0]->closed && sent < (1U << 20); sent += 100)
+    dialled_[0]->deliver("X-A: " + std::string(93, 'b') + "\r\n");
+  EXPECT_LT(sent, 16U << 10);
+  ASSERT_EQ(dialled_.size(), 2U);
+  dialled_[1]->connect();
+  dialled_[1]->deliver("HTTP/1.1 200 OK\r\nX-Parts: 1\r\nContent-Length: 3000000000\r\n\r\n" + kRows);
+  EXPECT_TRUE(dialled_[1]->closed);
+  ASSERT_EQ(dialled_.size(), 3U);
+  dialled_[2]->connect();
+  dialled_[2]->deliver(response("200 OK\r\nX-Parts: 1\r\n", kRows));
+  EXPECT_EQ(ends(), std::vector{Result::served});
+}
+
 TEST_F(Platform, AResetBeforeTheStartWasWrittenIsDialledAgainAndARefusalProvesThatNothingRan) {
   const auto ticket = ask(client(), 1);
   start(ticket, 0, 7);
