--- a/src/explore/world.cpp
+++ b/src/explore/world.cpp
@@ -388,6 +388,27 @@
 }
 
 // ---- clients -------------------------------------------------------------------------------------------
+std::string Sim::request_message(const Asked& asked) {
+  std::string text;
+  const auto timeout = std::to_string(asked.timeout.count());
+  std::vector<http::Field> fields{{"heronwell-timeout-ms", timeout},
+                                  {"connection", asked.keep_alive ? "keep-alive" : "close"}};
+  if (!asked.key.empty()) fields.push_back({"idempotency-key", asked.key});
+  if (!asked.graphql.empty()) {
+    fields.push_back({"content-type", "application/json"});
+    http::put_request(text, "POST", "/graphql", "a", "{\"query\":" + path::quoted(asked.graphql) + "}",
+                      fields);
+    return text;
+  }
+  http::put_request(
+      text, "POST", "/v1/query", "a",
+      fmt::format(R"({{"statement":"select x /*hw id={} */","class":"{}"{}{}}})", asked.id, asked.cls,
+                  asked.data_group == 0 ? "" : fmt::format(R"(,"data_group":{})", asked.data_group),
+                  asked.order_key.empty() ? "" : fmt::format(R"(,"key":"{}")", asked.order_key)),
+      fields);
+  return text;
+}
+
 void Sim::client_reads(WireState& wire, std::string_view bytes) {
   auto& client = clients_[wire.peer];
   footprint_.add(Footprint::properties);
@@ -659,26 +680,8 @@
         return;
       }
       const auto& asked = setting_.plan.clients[choice.a][client.sent++];
-      std::string text;
-      if (setting_.plan.platform) text = request_frame(asked, static_cast<std::uint32_t>(client.sent));
-      const auto timeout = std::to_string(asked.timeout.count());
-      std::vector<http::Field> fields{{"heronwell-timeout-ms", timeout},
-                                      {"connection", asked.keep_alive ? "keep-alive" : "close"}};
-      if (!asked.key.empty()) fields.push_back({"idempotency-key", asked.key});
-      if (setting_.plan.platform) {
-        // a frame
-      } else if (!asked.graphql.empty()) {
-        fields.push_back({"content-type", "application/json"});
-        http::put_request(text, "POST", "/graphql", "a", "{\"query\":" + path::quoted(asked.graphql) + "}",
-                          fields);
-      } else {
-        http::put_request(
-            text, "POST", "/v1/query", "a",
-            fmt::format(R"({{"statement":"select x /*hw id={} */","class":"{}"{}{}}})", asked.id, asked.cls,
-                        asked.data_group == 0 ? "" : fmt::format(R"(,"data_group":{})", asked.data_group),
-                        asked.order_key.empty() ? "" : fmt::format(R"(,"key":"{}")", asked.order_key)),
-            fields);
-      }
+      auto text = setting_.plan.platform ? request_frame(asked, static_cast<std::uint32_t>(client.sent))
+                                         : request_message(asked);
       if (choice.b != 0) {
         --splits_;
         const auto cut = choice.b == 1 ? 1 : text.size() - 1;
--- a/src/explore/world.hpp
+++ b/src/explore/world.hpp
@@ -184,6 +184,7 @@
   void engine_reads(WireState& wire);
   void statement(WireState& wire, const std::string& text);
   void client_reads(WireState& wire, std::string_view bytes);
+  static std::string request_message(const Asked& asked);
   static std::string request_frame(const Asked& asked, std::uint32_t stream);
   void client_reads_frames(WireState& wire, std::string_view bytes);
   void engine_reads_calls(WireState& wire);
