A test that a refusal for want of memory says when to come back

Change: the settings of the test name a pause of 700 ms, and the answer's field w must hold just that. No change of the code.

--- a/tests/router/platform_test.cpp
+++ b/tests/router/platform_test.cpp
@@ -98,7 +98,7 @@
     "known":{"offset":0,"batch":[]},"limits":{"sockets":64,"memory_mb":16},
     "settings":{"balancers":1,"classes":[{"name":"lookup","aim":1000000000,"give-up":4000000000,"semantics":"safe"},
       {"name":"load","aim":1000000000,"give-up":4000000000,"semantics":"unsafe"}],"kinds":["std"],"zones":["east"],
-      "tenants":[{"name":"acme","portion":1}],"ceilings":{"max-attempts":3},"safety":{},
+      "tenants":[{"name":"acme","portion":1}],"ceilings":{"max-attempts":3,"max-retry-after":700000000},"safety":{},
       "family-info":{"grants":true},"report":{"how":"pull","fields":["busy_reqs"]}}})",
                                       "test")),
         metrics_(router::class_names(config_.module)),
@@ -566,6 +566,7 @@
     for (const auto& [stream, code] : answers(*wire)) refused += code == 1 ? 1 : 0;
     EXPECT_FALSE(wire->ended);
   }
+  EXPECT_EQ(body_, std::string("\x01w\0\x03", 4) + "700") << "and when to come back";
   EXPECT_EQ(taken().size() - 1 + refused, sent) << "answered at once: a new try does no harm";
 }
 
