Review: an early 503 to a large start crashes the router

Cause: QueryCallConnection::on_writable uses the attempt of a start that is written in part after an early answer has ended that attempt.

--- a/review/rig/rig.cpp
+++ b/review/rig/rig.cpp
@@ -25,6 +25,7 @@
 constexpr double kPollHoldMs = 250;          // an engine holds a poll for this long
 constexpr double kUnaskedLifetimeMs = 2000;  // an engine drops a query that was not asked for in this time
 constexpr std::size_t kPageBytes = 6000;
+constexpr std::size_t kHeadBytes = 4096;  // read at once until the head of a call has come
 
 std::mutex record_mutex;
 std::FILE* record_file = nullptr;
@@ -104,12 +105,15 @@
   return buffer;
 }
 
-int listen_on_loopback(std::uint16_t& port) {
+int listen_on_loopback(std::uint16_t& port, int segment_bytes, int receive_buffer_bytes) {
   const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   sockaddr_in at{};
   at.sin_family = AF_INET;
   at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
   socklen_t size = sizeof at;
+  if (segment_bytes > 0) ::setsockopt(socket, IPPROTO_TCP, TCP_MAXSEG, &segment_bytes, sizeof segment_bytes);
+  if (receive_buffer_bytes > 0)
+    ::setsockopt(socket, SOL_SOCKET, SO_RCVBUF, &receive_buffer_bytes, sizeof receive_buffer_bytes);
   if (::bind(socket, reinterpret_cast<sockaddr*>(&at), size) != 0 || ::listen(socket, 512) != 0) std::exit(2);
   ::getsockname(socket, reinterpret_cast<sockaddr*>(&at), &size);
   port = ntohs(at.sin_port);
@@ -230,7 +234,10 @@
   return out;
 }
 
-Engine::Engine(std::string name) : name_(std::move(name)), socket_(listen_on_loopback(port_)) {
+Engine::Engine(std::string name, const Link& link)
+    : name_(std::move(name)),
+      link_(link),
+      socket_(listen_on_loopback(port_, link.segment_bytes, link.receive_buffer_bytes)) {
   thread_ = std::thread([this] { accept_calls(); });
   expiry_ = std::thread([this] { expire(); });
 }
@@ -251,8 +258,9 @@
 }
 
 void Engine::expire() {
-  while (!stopping_) {
+  for (int i = 0; !stopping_; ++i) {
     sleep_ms(2);
+    if (i % 250 == 0) reported_ = held();  // the load report is renewed every 500 ms
     const std::lock_guard lock(mutex_);
     const auto now = now_ms();
     for (const auto& query : all_) {
@@ -274,11 +282,28 @@
   }
 }
 
+// Queries that the engine holds.
+int Engine::held() {
+  const std::lock_guard lock(mutex_);
+  return sessions +
+         static_cast<int>(std::ranges::count_if(all_, [](const auto& one) { return one->over == 0; }));
+}
+
+// Reads at most so many bytes, at the speed of the link. Returns false at the end of the connection.
+bool Engine::read_more(int socket, std::string& in, std::size_t at_most) {
+  char buffer[65536];
+  if (link_.bytes_per_ms > 0) at_most = std::min(at_most, kHeadBytes);
+  const auto size = ::recv(socket, buffer, std::min(at_most, sizeof buffer), 0);
+  if (size <= 0) return false;
+  in.append(buffer, static_cast<std::size_t>(size));
+  if (link_.bytes_per_ms > 0) sleep_ms(static_cast<double>(size) / link_.bytes_per_ms);
+  return true;
+}
+
 void Engine::serve(int socket) {
   const int on = 1;
   ::setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
   std::string in;
-  char buffer[65536];
   while (!stopping_) {
     const auto end = in.find("\r\n\r\n");
     std::size_t length = 0;
@@ -296,10 +321,21 @@
       if (fields.contains("content-length"))
         length = std::strtoul(fields["content-length"].c_str(), nullptr, 10);
     }
+    if (end != std::string::npos && in.starts_with("POST") && held() >= kMaxSessions) {
+      ++times_full;
+      record(text("%s: full, answers 503 to %s; %zu of %zu bytes of its body have come", name_.c_str(),
+                  fields["x-hop-id"].c_str(), std::min(length, in.size() - end - 4), length));
+      if (!send_all(socket,
+                    "HTTP/1.1 503 Service Unavailable\r\nX-No-Effect: 1\r\nContent-Length: 0\r\n\r\n"))
+        break;
+      while (in.size() < end + 4 + length)
+        if (!read_more(socket, in, end + 4 + length - in.size())) break;
+      if (in.size() < end + 4 + length) break;
+      in.erase(0, end + 4 + length);
+      continue;
+    }
     if (end == std::string::npos || in.size() < end + 4 + length) {
-      const auto size = ::recv(socket, buffer, sizeof buffer, 0);
-      if (size <= 0) break;
-      in.append(buffer, static_cast<std::size_t>(size));
+      if (!read_more(socket, in, end == std::string::npos ? kHeadBytes : end + 4 + length - in.size())) break;
       continue;
     }
     const auto method = in.substr(0, in.find(' '));
@@ -318,10 +354,7 @@
     return std::string("HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n");
   };
   if (method == "GET" && (path == "/busy" || path == "/ping")) {
-    const std::lock_guard lock(mutex_);
-    const auto running = std::ranges::count_if(all_, [](const auto& query) { return query->over == 0; });
-    return text("HTTP/1.1 200 OK\r\nX-Report: inflight:%d\r\nContent-Length: 0\r\n\r\n",
-                static_cast<int>(running));
+    return text("HTTP/1.1 200 OK\r\nX-Report: inflight:%d\r\nContent-Length: 0\r\n\r\n", reported_.load());
   }
   if (method == "POST" && path == "/x") {
     auto query = std::make_shared<Query>();
@@ -558,8 +591,15 @@
 }
 
 bool Router::running() {
-  if (!ended_) ended_ = ::waitpid(pid_, nullptr, WNOHANG) != 0;
-  return !ended_;
+  if (ended_) return false;
+  int status = 0;
+  ended_ = ::waitpid(pid_, &status, WNOHANG) != 0;
+  if (!ended_) return true;
+  if (WIFSIGNALED(status))
+    record(text("router: ended by signal %d (%s)", WTERMSIG(status), ::strsignal(WTERMSIG(status))));
+  else
+    record(text("router: ended with code %d", WEXITSTATUS(status)));
+  return false;
 }
 
 void Router::send_signal(int number) const { ::kill(pid_, number); }
--- a/review/rig/rig.hpp
+++ b/review/rig/rig.hpp
@@ -28,7 +28,7 @@
 void record(const std::string& line);
 std::string text(const char* format, ...) __attribute__((format(printf, 1, 2)));
 
-int listen_on_loopback(std::uint16_t& port);
+int listen_on_loopback(std::uint16_t& port, int segment_bytes = 0, int receive_buffer_bytes = 0);
 int connect_to(std::uint16_t port, int receive_buffer = 0);  // returns -1 if the connection fails
 bool send_all(int socket, const std::string& bytes);
 
@@ -73,9 +73,17 @@
   std::vector<std::string> pages;
 };
 
+// How callers reach an engine. The values of 0 are the system's choice, which for loopback is far above that of any
+// network between machines.
+struct Link {
+  int segment_bytes = 0;         // largest TCP segment that callers may send
+  int receive_buffer_bytes = 0;  // of the engine's connections
+  double bytes_per_ms = 0;       // at which the body of a call comes in
+};
+
 class Engine {
  public:
-  explicit Engine(std::string name);
+  explicit Engine(std::string name, const Link& link = {});
   ~Engine();
   [[nodiscard]] Host host() const { return {name_, port_, "up"}; }
   [[nodiscard]] const std::string& name() const { return name_; }
@@ -83,9 +91,16 @@
   std::vector<Query> queries();
   // If set, may change the bytes of an answer 200 with rows. `head` ends before Content-Length.
   std::function<std::string(const std::string& head, const std::string& body, const std::string& id)> spoil;
+  // A start is answered as "full" once its head has come, if `sessions` and what runs here reach kMaxSessions; the
+  // rest of the call is read and dropped. `sessions` stands for the work of other routers.
+  static constexpr int kMaxSessions = 72;
+  std::atomic<int> sessions = 0;
+  std::atomic<int> times_full = 0;
 
  private:
   void accept_calls();
+  int held();
+  bool read_more(int socket, std::string& in, std::size_t at_most);
   void serve(int socket);
   std::string answer(const std::string& method, const std::string& path,
                      const std::map<std::string, std::string>& fields, const std::string& body);
@@ -93,8 +108,10 @@
   void expire();
 
   std::string name_;
+  Link link_;
   std::uint16_t port_ = 0;
   int socket_ = -1;
+  std::atomic<int> reported_ = 0;
   std::mutex mutex_;
   std::vector<std::shared_ptr<Query>> all_;
   std::map<std::string, std::shared_ptr<Query>> known_;
