--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -7,6 +7,7 @@
 export RUN_COMMAND CASE_FOLDER
 timeout -k 5 110 "review/build/case_3" "$here/record.txt"
 code=$?
+head -n 200 "$CASE_FOLDER/router.log" 2>/dev/null | sed 's/^/router log: /' >> "$here/record.txt"
 rm -rf "$CASE_FOLDER"
 [ "$code" -le 1 ] && exit "$code"
 exit 2
