--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -5,7 +5,11 @@
 RUN_COMMAND=$(sed -n 's/^run = "\(.*\)" *#.*/\1/p' deploy/balancer.toml)
 CASE_FOLDER=$(mktemp -d) || exit 2
 export RUN_COMMAND CASE_FOLDER
-timeout -k 5 110 "review/build/case_2" "$here/record.txt"
+# The router ends with the stand-ins' process, and that one with this script.
+timeout -k 5 110 review/build/case_2 "$here/record.txt" &
+stand_ins=$!
+trap 'kill "$stand_ins" 2>/dev/null; wait "$stand_ins"; rm -rf "$CASE_FOLDER"; exit 2' HUP INT TERM
+wait "$stand_ins"
 code=$?
 head -n 200 "$CASE_FOLDER/router.log" 2>/dev/null | sed 's/^/router log: /' >> "$here/record.txt"
 rm -rf "$CASE_FOLDER"
--- a/review/3/full_buffers.cpp
+++ b/review/3/full_buffers.cpp
@@ -35,7 +35,10 @@
     }
     const timeval limit{2, 0};
     ::setsockopt(socket, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
-    if (rig::send_all(socket, half)) ++halves;
+    const bool sent = rig::send_all(socket, half);
+    if (sent) ++halves;
+    rig::record(rig::text("bad client: %zu bytes of a request of %zu%s", half.size(), whole.size(),
+                          sent ? "" : ": cut off by the router"));
     char buffer[4096];
     while (!stopping && ::recv(socket, buffer, sizeof buffer, 0) > 0) continue;
     ::close(socket);
