Past the buffer limit an incomplete frame is rejected alone, its connection stays

Cause: past the limit on buffered bytes, FrameClientConnection::on_data closed whichever connection received the next piece of a larger frame, and a close with an error forgets the requests that are open on it.

Change: the request of an incomplete frame is rejected on its own stream, with a pause, and the rest of the frame is read and dropped. Frames of clients without open requests go first, among these the one that began first. BufferLimit chooses. The request never ran; where its id is open or may have run it fails, as before.

--- a/fuzz/platform_fuzz.cpp
+++ b/fuzz/platform_fuzz.cpp
@@ -17,6 +17,19 @@
 
 using namespace heronwell;
 
+// The front of an incomplete frame must agree with the complete frame.
+void check_front(std::string_view front, const frames::DecodeResult& complete) {
+  const auto incomplete = frames::decode_incomplete(front);
+  if (!incomplete || complete.status != frames::DecodeResult::Status::frame) return;
+  if (incomplete->frame_bytes != complete.consumed_bytes || incomplete->frame.type != complete.frame.type ||
+      incomplete->frame.stream != complete.frame.stream)
+    std::abort();
+  if (!incomplete->fields_complete) return;
+  if (incomplete->frame.fields.size() != complete.frame.fields.size() ||
+      !complete.frame.body.starts_with(incomplete->frame.body))
+    std::abort();
+}
+
 void check_frames(std::string_view in) {
   using Status = frames::DecodeResult::Status;
   const auto complete = frames::decode(in);
@@ -28,6 +41,7 @@
     if (truncated.status == Status::error && complete.status != Status::error) std::abort();
     if (truncated.status == Status::frame && truncated.consumed_bytes != complete.consumed_bytes)
       std::abort();
+    if (truncated.status == Status::need_more) check_front(in.substr(0, cut), complete);
   }
   frames::Request request;
   if (complete.status != Status::frame || complete.frame.type != frames::FrameType::request) return;
--- a/src/frames/frames.cpp
+++ b/src/frames/frames.cpp
@@ -116,6 +116,20 @@
   return result;
 }
 
+std::optional<IncompleteFrame> decode_incomplete(std::string_view bytes) {
+  ByteReader reader(bytes);
+  IncompleteFrame incomplete;
+  incomplete.frame_bytes = kLengthBytes + reader.u32();
+  incomplete.frame.type = static_cast<FrameType>(reader.u8());
+  incomplete.frame.stream = reader.u32();
+  if (!reader.ok()) return std::nullopt;
+  if (incomplete.frame.type != FrameType::request) return incomplete;
+  incomplete.fields_complete = read_fields(reader, incomplete.frame.fields);
+  if (!incomplete.fields_complete) incomplete.frame.fields.clear();
+  incomplete.frame.body = reader.rest();
+  return incomplete;
+}
+
 std::optional<std::string_view> find(const Frame& frame, std::string_view name) {
   const auto found = std::ranges::find(frame.fields, name, &Field::name);
   if (found == frame.fields.end()) return std::nullopt;
--- a/src/frames/frames.hpp
+++ b/src/frames/frames.hpp
@@ -65,6 +65,16 @@
 };
 [[nodiscard]] DecodeResult decode(std::string_view bytes);
 
+// The front of a frame that has not arrived completely.
+struct IncompleteFrame {
+  std::size_t frame_bytes = 0;   // size of the complete frame
+  bool fields_complete = false;  // all fields of a request have arrived
+  Frame frame;  // without fields if these are not complete; the body as far as it has arrived
+};
+// Reads the front of a frame for which decode() needs more bytes. Returns nullopt if its type and stream have
+// not arrived yet.
+[[nodiscard]] std::optional<IncompleteFrame> decode_incomplete(std::string_view bytes);
+
 // Returns the value of the first field named `name`; nullopt if there is none.
 [[nodiscard]] std::optional<std::string_view> find(const Frame& frame, std::string_view name);
 
--- a/src/path/descriptor_budget.hpp
+++ b/src/path/descriptor_budget.hpp
@@ -32,7 +32,6 @@
 namespace heronwell::path {
 
 // Client connections of a shard, by connection number.
-using ClientMap = std::map<std::uint64_t, std::shared_ptr<ClientProtocol>>;
 
 class DescriptorBudget {
  public:
--- a/src/path/frame_client_connection.cpp
+++ b/src/path/frame_client_connection.cpp
@@ -19,7 +19,8 @@
 // that the client sent before it received the go-away frame or the error. A client that sends more ignores
 // the close, and its connection is reset.
 constexpr std::size_t kMaxDiscardedBytes = 256 << 10;
-// Capacity that an idle connection keeps in each buffer. A request of typical size fits into it.
+// Capacity that an idle connection keeps in each buffer, and size up to which an incomplete frame is kept
+// although the limit on buffered bytes is exceeded. A request of typical size fits into it.
 constexpr std::size_t kMaxIdleBufferBytes = 4 << 10;
 // After its last response is written, a connection stays open for this long, so that the client can read the
 // response and close.
@@ -51,6 +52,8 @@
     return;
   }
   last_active_at_ = shard_.now();
+  bytes.remove_prefix(skip_rejected_frame(bytes.size()));
+  if (bytes.empty()) return;
   if (read_buffer_.empty()) {
     const auto used = parse(bytes);
     if (state_ == ClientConnectionState::reading) read_buffer_.assign(bytes.substr(used));
@@ -62,13 +65,50 @@
     if (used > 0) frame_started_at_ = last_active_at_;
   }
   account_buffered();
-  if (read_buffer_.size() > kMaxIdleBufferBytes && shard_.over_buffer_limit())
-    close_with_error("a frame that is not whole, and no memory left");
+  shard_.enforce_buffer_limit();
   if (state_ != ClientConnectionState::reading) std::string().swap(read_buffer_);
   if (read_buffer_.empty() && read_buffer_.capacity() > kMaxIdleBufferBytes) std::string().swap(read_buffer_);
   write_buffered();
 }
 
+// Skips the rest of a frame that was rejected while it was incomplete. Returns how many of the next
+// `available` bytes of input belong to it.
+std::size_t FrameClientConnection::skip_rejected_frame(std::size_t available) {
+  const auto skipped = std::min(rejected_frame_bytes_left_, available);
+  rejected_frame_bytes_left_ -= skipped;
+  if (skipped > 0 && rejected_frame_bytes_left_ == 0) complete_frame_received_ = true;
+  return skipped;
+}
+
+std::optional<ClientProtocol::IncompleteFrame> FrameClientConnection::incomplete_frame() const {
+  if (state_ != ClientConnectionState::reading || read_buffer_.size() <= kMaxIdleBufferBytes)
+    return std::nullopt;
+  return IncompleteFrame{!open_requests_.empty(), frame_started_at_};
+}
+
+// Only a request needs its payload. Any other frame takes effect without it.
+void FrameClientConnection::reject_incomplete_frame() {
+  const auto buffered = std::exchange(read_buffer_, {});
+  const auto incomplete = frames::decode_incomplete(buffered);
+  if (!incomplete) return;
+  rejected_frame_bytes_left_ = incomplete->frame_bytes - buffered.size();
+  if (incomplete->frame.type == frames::FrameType::request)
+    reject_incomplete_request(*incomplete);
+  else
+    dispatch(incomplete->frame);
+  write_buffered();
+}
+
+void FrameClientConnection::reject_incomplete_request(const frames::IncompleteFrame& incomplete) {
+  if (!take_stream(incomplete.frame.stream)) return;
+  // Without the id it is unknown whether the request may have run before, so that a retry could do harm.
+  if (!incomplete.fields_complete)
+    return reject(incomplete.frame.stream, "fields: expected at the front of the frame",
+                  frames::ResponseCode::failed);
+  if (const auto opened = open_request(incomplete.frame, ""))
+    shard_.reject_incomplete(opened->client_request, opened->spec);
+}
+
 std::size_t FrameClientConnection::parse(std::string_view in) {
   std::size_t used = 0;
   while (state_ == ClientConnectionState::reading) {
@@ -105,43 +145,63 @@
 }
 
 void FrameClientConnection::on_request(const frames::Frame& frame) {
-  if (frame.stream <= last_stream_) return close_with_error("stream: expected a number that is new");
-  last_stream_ = frame.stream;
+  if (!take_stream(frame.stream)) return;
+  if (auto opened = open_request(frame, frame.body))
+    shard_.submit(opened->client_request, std::move(opened->spec));
+}
+
+// Returns false if the stream number is not new. The connection is then closed.
+bool FrameClientConnection::take_stream(std::uint32_t stream) {
+  if (stream <= last_stream_) {
+    close_with_error("stream: expected a number that is new");
+    return false;
+  }
+  last_stream_ = stream;
+  return true;
+}
+
+// Checks the fields of a request and opens it on its stream with `statement`. Returns nullopt if it was
+// rejected.
+std::optional<FrameClientConnection::OpenedRequest> FrameClientConnection::open_request(
+    const frames::Frame& frame, std::string_view statement) {
+  using enum frames::ResponseCode;
+  const auto reject_request = [&](std::string_view reason, frames::ResponseCode code) {
+    reject(frame.stream, reason, code);
+    return std::nullopt;
+  };
   frames::Request parsed;
   if (const auto error = frames::read_request(frame, parsed))
-    return reject(frame.stream, frames::text_of(*error));
+    return reject_request(frames::text_of(*error), rejected);
   const auto& settings = shard_.config().module;
   const auto cls = std::ranges::find(settings.classes, parsed.class_name, &ClassSettings::name);
-  if (cls == settings.classes.end()) return reject(frame.stream, "c: expected a class of the settings");
+  if (cls == settings.classes.end()) return reject_request("c: expected a class of the settings", rejected);
   const auto tenant = std::ranges::find(settings.tenants, parsed.tenant, &TenantSettings::name);
   if (tenant == settings.tenants.end() && !(settings.tenants.empty() && parsed.tenant.empty()))
-    return reject(frame.stream, "t: expected a tenant of the settings");
+    return reject_request("t: expected a tenant of the settings", rejected);
   if (open_requests_.size() >= kMaxOpenRequests)
-    return reject(frame.stream, "expected at most 32 open requests");
+    return reject_request("expected at most 32 open requests", rejected);
   std::string id(parsed.id);
   // A request that is not idempotent may already be running under this id. It gets the response `failed`: a
   // rejection would tell the client that a retry is safe, and the effect of the request could happen twice.
   const bool idempotent = cls->idempotency == Idempotency::idempotent;
   if (shard_.request_id_open(id))
-    return reject(frame.stream, "i: expected an id that is new",
-                  idempotent ? frames::ResponseCode::rejected : frames::ResponseCode::failed);
-  if (shard_.may_have_run(id))
-    return reject(frame.stream, "i: expected an id that can't have run", frames::ResponseCode::failed);
+    return reject_request("i: expected an id that is new", idempotent ? rejected : failed);
+  if (shard_.may_have_run(id)) return reject_request("i: expected an id that can't have run", failed);
   auto client_request = std::make_shared<ClientRequest>();
   client_request->response_handler = shared_from_this();
   client_request->call_index = frame.stream;
   client_request->client_request_id = std::move(id);
   client_request->idempotency_key = parsed.idempotency_key;
-  client_request->statement = std::make_shared<const sql::Statement>(sql::Statement{std::string(frame.body)});
+  client_request->statement = std::make_shared<const sql::Statement>(sql::Statement{std::string(statement)});
   client_request->received_at = shard_.input_waiting_since();
   open_requests_.emplace(frame.stream, client_request);
-  statement_bytes_ += frame.body.size();
+  statement_bytes_ += statement.size();
   router::RequestSpec spec;
   spec.request.class_index = static_cast<ClassIndex>(cls - settings.classes.begin());
   spec.request.tenant = static_cast<std::uint32_t>(tenant - settings.tenants.begin());
   spec.request.time_left = std::chrono::milliseconds(parsed.timeout_ms);
-  spec.request.data_group = sql::find_data_group(frame.body).value_or(0);
-  shard_.submit(client_request, std::move(spec));
+  spec.request.data_group = sql::find_data_group(statement).value_or(0);
+  return OpenedRequest{std::move(client_request), std::move(spec)};
 }
 
 // Rejects a request that was not admitted; with the default code, the client may retry it. A client that
@@ -293,15 +353,14 @@
   if (!open_requests_.empty()) return;
   // The client has not sent a complete frame, or stopped in the middle of one.
   const auto since = complete_frame_received_ ? frame_started_at_ : connected_at_;
-  if ((!complete_frame_received_ || !read_buffer_.empty()) &&
+  if ((!complete_frame_received_ || receiving_frame()) &&
       (now > last_active_at_ + listen.header_time || now > since + shard_.config().platform->frame_time))
     return close_with_error("a frame did not come whole in time");
   if (now > last_active_at_ + listen.idle_time) begin_graceful_close();
 }
 
 std::optional<ClientProtocol::IdleState> FrameClientConnection::idle_state() const {
-  if (!open_requests_.empty() || !write_buffer_.empty() ||
-      (complete_frame_received_ && !read_buffer_.empty()))
+  if (!open_requests_.empty() || !write_buffer_.empty() || (complete_frame_received_ && receiving_frame()))
     return std::nullopt;
   using Order = IdleState::EvictionOrder;
   const bool just_connected = shard_.now() < connected_at_ + kFirstRequestGrace;
--- a/src/path/frame_client_connection.hpp
+++ b/src/path/frame_client_connection.hpp
@@ -6,6 +6,8 @@
 //   longer than `frame_time`, or when nothing is received for `listen.header_time`.
 // - A client sends requests and does not read. The shard counts the bytes buffered here towards the limit for
 //   all clients (buffer_limit.hpp), and the connection is closed after `listen.stall_time` without progress.
+// - Clients fill the buffers with incomplete frames. The request of an incomplete frame is rejected by itself;
+//   the connection stays open, and its other requests are answered.
 // - A client reuses a request id that is open, or whose request may have run and must not run twice. The
 //   request is rejected, or failed where a rejection would wrongly imply that a retry is safe.
 //
@@ -35,6 +37,8 @@
   void begin_shutdown() override { begin_graceful_close(); }
   [[nodiscard]] std::optional<IdleState> idle_state() const override;
   void close_when_idle() override;
+  [[nodiscard]] std::optional<IncompleteFrame> incomplete_frame() const override;
+  void reject_incomplete_frame() override;
   void abort() override;
 
   void on_data(std::string_view bytes) override;
@@ -47,10 +51,23 @@
   [[nodiscard]] bool has_unread_input() override { return !closed() && !stream_->nothing_to_read(); }
 
  private:
+  struct OpenedRequest {
+    ClientRequestPtr client_request;
+    router::RequestSpec spec;
+  };
+
   [[nodiscard]] bool closed() const { return state_ == ClientConnectionState::closed; }
+  [[nodiscard]] bool receiving_frame() const {
+    return !read_buffer_.empty() || rejected_frame_bytes_left_ > 0;
+  }
+  std::size_t skip_rejected_frame(std::size_t available);
+  void reject_incomplete_request(const frames::IncompleteFrame& incomplete);
   std::size_t parse(std::string_view in);
   void dispatch(const frames::Frame& frame);
   void on_request(const frames::Frame& frame);
+  [[nodiscard]] bool take_stream(std::uint32_t stream);
+  [[nodiscard]] std::optional<OpenedRequest> open_request(const frames::Frame& frame,
+                                                          std::string_view statement);
   void reject(std::uint32_t stream, std::string_view reason,
               frames::ResponseCode code = frames::ResponseCode::rejected);
   void close_with_error(std::string_view reason);
@@ -74,9 +91,10 @@
   std::size_t statement_bytes_ = 0,
               accounted_bytes_ = 0;  // statements of open requests; total last reported to the shard
   std::uint32_t last_stream_ = 0;
-  unsigned rejected_requests_ = 0;        // limited by kMaxRejectedRequests
-  std::size_t discarded_bytes_ = 0;       // input received since requests are no longer accepted
-  bool complete_frame_received_ = false;  // other than a cancel frame
+  unsigned rejected_requests_ = 0;             // limited by kMaxRejectedRequests
+  std::size_t discarded_bytes_ = 0;            // input received since requests are no longer accepted
+  std::size_t rejected_frame_bytes_left_ = 0;  // of a frame that was rejected while it was incomplete
+  bool complete_frame_received_ = false;       // other than a cancel frame
   Time connected_at_{}, last_active_at_{}, last_write_at_{};
   Time frame_started_at_{};  // arrival of the first bytes of the incomplete frame
   ClientConnectionState state_ = ClientConnectionState::reading;
--- a/src/path/protocols.hpp
+++ b/src/path/protocols.hpp
@@ -4,6 +4,8 @@
 #pragma once
 
 #include <compare>
+#include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 
@@ -31,7 +33,22 @@
   [[nodiscard]] virtual std::optional<IdleState> idle_state() const { return std::nullopt; }
   // Closes the connection gracefully. A second call closes it at once.
   virtual void close_when_idle() {}
+
+  // Orders the incomplete frames that occupy memory by which is rejected first when the limit on buffered
+  // bytes is exceeded; the smallest value is rejected first.
+  struct IncompleteFrame {
+    bool requests_open = false;  // other requests are open on the connection
+    Time since{};                // arrival of the first bytes of the frame
+    auto operator<=>(const IncompleteFrame&) const = default;
+  };
+  // Returns nullopt if the connection holds no incomplete frame of notable size.
+  [[nodiscard]] virtual std::optional<IncompleteFrame> incomplete_frame() const { return std::nullopt; }
+  // Releases the memory of the incomplete frame. The client gets a rejection for it, and the connection stays
+  // open. Must be called only if there is an incomplete_frame().
+  virtual void reject_incomplete_frame() {}
 };
+// The client connections of a shard, by connection number.
+using ClientMap = std::map<std::uint64_t, std::shared_ptr<ClientProtocol>>;
 
 class EngineProtocol {
  public:
--- a/src/path/shard.cpp
+++ b/src/path/shard.cpp
@@ -28,6 +28,8 @@
 // Number of event loop turns until every readable socket has been read: one turn detects that they are
 // readable and one reads them.
 constexpr unsigned kLoopTurnsToReadInput = 2;
+// The detail of a rejection at the buffer limit.
+constexpr auto* kNoMemoryLeft = "no memory is left for another request";
 
 }  // namespace
 
@@ -41,7 +43,7 @@
       tracer_(tracer),
       tenant_names_(router::tenant_names(config.module)),
       stall_detector_(now()),
-      buffer_limit_(config.platform ? config.platform->held_bytes : 0),
+      buffer_limit_(config.platform ? config.platform->held_bytes : 0, clients_),
       requests_(index),
       deletions_(config.platform ? config.platform->removals : 1),
       descriptors_(environment, config, metrics, shard_count, pools_, clients_,
@@ -136,18 +138,22 @@
 }
 
 // ---- requests ------------------------------------------------------------------------------------------
+void Shard::set_terms(ClientRequest& request, const router::RequestSpec& spec) {
+  request.class_index = spec.request.class_index;
+  request.queued_since = now();
+  request.tenant = spec.request.tenant;
+  request.deadline = request.received_at + spec.request.time_left;
+}
+
 void Shard::submit(const ClientRequestPtr& request, router::RequestSpec spec) {
-  request->class_index = spec.request.class_index;
-  request->queued_since = now();
-  request->tenant = spec.request.tenant;
-  request->deadline = request->received_at + spec.request.time_left;
+  set_terms(*request, spec);
   spec.request.time_left = std::max(Time::zero(), request->deadline - now());
   if (!choose_group(request, spec)) return;
   // Only plain HTTP requests are rejected while stopping. Requests without an HTTP client continue:
   // statements of a GraphQL request that was already admitted, and the platform's frames, which are served
   // while draining.
   if (stopping_ && request->client) return reject_at_limit(request, "this router is stopping");
-  if (over_buffer_limit()) return reject_at_limit(request, "no memory is left for another request");
+  if (buffer_limit_.exceeded()) return reject_at_limit(request, kNoMemoryLeft);
   if (requests_.size() >= std::max<std::size_t>(1, config_.module.max_open_requests / config_.threads))
     return reject_at_limit(request, "allow.max_open requests are open here");
   requests_.add(request);
@@ -156,6 +162,11 @@
   publish(RequestReceived{spec});
 }
 
+void Shard::reject_incomplete(const ClientRequestPtr& request, const router::RequestSpec& spec) {
+  set_terms(*request, spec);
+  reject_at_limit(request, kNoMemoryLeft);
+}
+
 void Shard::reject_at_limit(const ClientRequestPtr& request, std::string reason) {
   router::Problem problem;
   problem.status = 503;
--- a/src/path/shard.hpp
+++ b/src/path/shard.hpp
@@ -71,6 +71,9 @@
   // Sends a request to the decision loop. Rejects it at once if no group admits it, if the buffer limit is
   // exceeded, or if the limit on open requests is reached.
   void submit(const ClientRequestPtr& request, router::RequestSpec spec);
+  // Rejects a request whose frame has not arrived completely, because the buffer limit is exceeded. The
+  // request was never submitted, so the client may retry it.
+  void reject_incomplete(const ClientRequestPtr& request, const router::RequestSpec& spec);
   // Ends an open request whose client has disconnected or has cancelled it.
   void disconnect(const ClientRequestPtr& request);
   // Records the end of a request in metrics, trace and log. `status` is the HTTP status, or 0 if no response
@@ -144,8 +147,8 @@
   void free_client_descriptor() { descriptors_.free_client_descriptor(); }
   [[nodiscard]] bool can_open_deletion() const { return deletions_.can_open_connection(); }
   // See BufferLimit.
-  [[nodiscard]] bool over_buffer_limit() const { return buffer_limit_.exceeded(); }
   void account_buffered(std::size_t before, std::size_t now) { buffer_limit_.account(before, now); }
+  void enforce_buffer_limit() { buffer_limit_.enforce(); }
   // The earliest time at which the input that is read now may have arrived: see StallDetector. Deadlines are
   // measured from this time.
   Time input_waiting_since() { return stall_detector_.input_waiting_since(now()); }
@@ -183,6 +186,7 @@
   void on(const router::FinishRequest& command) { responses_.finish(command); }
   void on(const router::RunHealthCheck& command);
 
+  void set_terms(ClientRequest& request, const router::RequestSpec& spec);
   [[nodiscard]] bool choose_group(const ClientRequestPtr& request, router::RequestSpec& spec);
   void reject_at_limit(const ClientRequestPtr& request, std::string reason);
   [[nodiscard]] AttemptPtr make_attempt(const router::DispatchAttempt& command,
--- a/tests/protocol/platform_test.cpp
+++ b/tests/protocol/platform_test.cpp
@@ -58,6 +58,21 @@
   }
 }
 
+TEST(Frames, FrontOfAnIncompleteFrameGivesItsStreamAndItsFields) {
+  const auto head = fields({{"c", "report"}, {"i", "9b1f03aa5c7e2d41"}});
+  const auto bytes = frame(2, 7, head + "select 1");
+  constexpr std::size_t kFrontBytes = 9;  // length, type and stream
+  for (std::size_t cut = 0; cut < bytes.size(); ++cut) {
+    const auto incomplete = frames::decode_incomplete(std::string_view(bytes).substr(0, cut));
+    ASSERT_EQ(incomplete.has_value(), cut >= kFrontBytes) << "input truncated after " << cut << " bytes";
+    if (!incomplete) continue;
+    EXPECT_EQ(incomplete->frame_bytes, bytes.size());
+    EXPECT_EQ(incomplete->frame.stream, 7U);
+    EXPECT_EQ(incomplete->fields_complete, cut >= kFrontBytes + head.size());
+    EXPECT_EQ(frames::find(incomplete->frame, "c").value_or(""), incomplete->fields_complete ? "report" : "");
+  }
+}
+
 // A client sends an invalid frame header and then nothing. Waiting for the rest of the frame would hold the
 // connection and its buffer until a timeout, so an invalid header must fail at once.
 TEST(Frames, MalformedFramesFailBeforeTheyAreComplete) {
