During a shutdown, discarded input does not close a connection that owes answers

Callers would see: a client that has requests open while the router shuts down, and goes on sending, is reset after 256 KiB, and its open requests get no answer.

Cause: FrameClientConnection counted discarded input towards its limit also while requests were open on the connection. The go-away frame goes out only after the last answer, so until then a client has no sign that its frames are discarded.

Change: the limit counts input only once nothing is owed. Nothing is stored meanwhile, and the time of the shutdown bounds it.

--- a/src/path/frame_client_connection.cpp
+++ b/src/path/frame_client_connection.cpp
@@ -15,9 +15,9 @@
 // Number of requests of one connection that are rejected individually. A client with an error in a single
 // request gets a response; a client that continues to send invalid requests is disconnected.
 constexpr unsigned kMaxRejectedRequests = 16;
-// Maximum number of bytes that are read and discarded once no more requests are accepted. These are frames
-// that the client sent before it received the go-away frame or the error. A client that sends more ignores
-// the close, and its connection is reset.
+// Maximum number of bytes that are read and discarded once no more requests are accepted and none is open.
+// These are frames that the client sent before it received the go-away frame or the error. A client that sends
+// more ignores the close, and its connection is reset.
 constexpr std::size_t kMaxDiscardedBytes = 256 << 10;
 // Capacity that an idle connection keeps in each buffer, and size up to which an incomplete frame is kept
 // although the limit on buffered bytes is exceeded. A request of typical size fits into it.
@@ -46,11 +46,7 @@
 }
 
 void FrameClientConnection::on_data(std::string_view bytes) {
-  if (state_ != ClientConnectionState::reading) {  // the input is discarded, up to a limit
-    discarded_bytes_ += bytes.size();
-    if (discarded_bytes_ > kMaxDiscardedBytes) close(ClientConnectionEvent::closed_locally, true);
-    return;
-  }
+  if (state_ != ClientConnectionState::reading) return discard(bytes.size());
   last_active_at_ = shard_.now();
   bytes.remove_prefix(skip_rejected_frame(bytes.size()));
   if (bytes.empty()) return;
@@ -71,6 +67,14 @@
   write_buffered();
 }
 
+// Counts input that is read and discarded because no more requests are accepted. While requests are open, any
+// amount is discarded: closing the connection would take their responses with it.
+void FrameClientConnection::discard(std::size_t bytes) {
+  if (!open_requests_.empty()) return;
+  discarded_bytes_ += bytes;
+  if (discarded_bytes_ > kMaxDiscardedBytes) close(ClientConnectionEvent::closed_locally, true);
+}
+
 // Skips the rest of a frame that was rejected while it was incomplete. Returns how many of the next
 // `available` bytes of input belong to it.
 std::size_t FrameClientConnection::skip_rejected_frame(std::size_t available) {
--- a/src/path/frame_client_connection.hpp
+++ b/src/path/frame_client_connection.hpp
@@ -60,6 +60,7 @@
   [[nodiscard]] bool receiving_frame() const {
     return !read_buffer_.empty() || rejected_frame_bytes_left_ > 0;
   }
+  void discard(std::size_t bytes);
   std::size_t skip_rejected_frame(std::size_t available);
   void reject_incomplete_request(const frames::IncompleteFrame& incomplete);
   std::size_t parse(std::string_view in);
@@ -92,7 +93,7 @@
               accounted_bytes_ = 0;  // statements of open requests; total last reported to the shard
   std::uint32_t last_stream_ = 0;
   unsigned rejected_requests_ = 0;             // limited by kMaxRejectedRequests
-  std::size_t discarded_bytes_ = 0;            // input received since requests are no longer accepted
+  std::size_t discarded_bytes_ = 0;            // input received since nothing is owed any more
   std::size_t rejected_frame_bytes_left_ = 0;  // of a frame that was rejected while it was incomplete
   bool complete_frame_received_ = false;       // other than a cancel frame
   Time connected_at_{}, last_active_at_{}, last_write_at_{};
--- a/tests/router/platform_test.cpp
+++ b/tests/router/platform_test.cpp
@@ -835,6 +835,28 @@
   EXPECT_EQ(read_responses(*client), (std::vector<std::pair<std::uint32_t, int>>{{1, 1}}));
 }
 
+// During the shutdown a client goes on to send large requests while it waits for an answer. They are discarded; a
+// close would take the answer with it.
+TEST_F(Platform, ShutdownAnswersOpenRequestsOfAClientThatGoesOnSending) {
+  const auto client = connect_client();
+  const auto ticket = send_request(client, 1);
+  shard_.stop_serving();
+  shard_.begin_shutdown();
+  for (unsigned n = 2; n <= 4; ++n) client->deliver(encode_large_request(n, request_id(n), 200'000));
+  EXPECT_FALSE(client->closed);
+  EXPECT_EQ(received_tickets().size(), 1U);
+  execute(router::Command(router::FinishRequest{ticket, router::FinalStatus::failed, 500ms}));
+  EXPECT_TRUE(client->writing_shut_down);
+  ASSERT_TRUE(client->written.ends_with(encode_frame(64, 0, "")));
+  client->written.resize(client->written.size() - 9);
+  EXPECT_EQ(read_responses(*client), (std::vector<std::pair<std::uint32_t, int>>{{1, 2}}));
+  // Once nothing is owed, a client that ignores the go-away frame is disconnected.
+  client->deliver(encode_large_request(5, request_id(5), 200'000));
+  EXPECT_FALSE(client->closed);
+  client->deliver(encode_large_request(6, request_id(6), 200'000));
+  EXPECT_TRUE(client->closed);
+}
+
 TEST_F(Platform, ClosesAClientThatOnlyCancelsUnknownStreams) {
   const auto client = connect_client();
   client->deliver(encode_frame(8, 3, ""));
