An engine that rejects a start before it has all of it no longer crashes the router

Cause: the rest of the start waited for the socket to become writable. The 503 ended the attempt and put the connection among the idle ones with that rest; on_writable then read through a null pointer.

Evidence: the new test on a hand-driven stream (20 bytes of a start, the 503, writable again) ends the old code there with a null reference under UBSan. Ruled out: the size of the start, and a reset or a time-out in the same state (their tests pass on the old code).

Change: EngineConnectionState::sending, a call written in part; no row of the table leads from it to idle. 503 and 504 with X-No-Effect end the attempt as they say, 1xx changes nothing, any other response is not trusted: reset, and polled again. The Promela model has the state and a planted fault, found.

--- a/model/attempt.pml
+++ b/model/attempt.pml
@@ -6,7 +6,8 @@
  *   spin -DTRIES=1 -DLINKS=1 -a ...                                      two requests after each other on one
  * and -DUNSAFE for a first request that may not run twice.
  *
- * -DPLANT_REUSE, -DPLANT_RESEND, -DPLANT_ORDER, -DPLANT_LATE_DIAL: one guard off each; pan must then find it. */
+ * -DPLANT_REUSE, -DPLANT_RESEND, -DPLANT_ORDER, -DPLANT_LATE_DIAL, -DPLANT_PARTIAL: one guard off each; pan must
+ * then find it. */
 
 #ifndef TRIES
 #define TRIES 2   /* attempts of one request, at most 2 */
@@ -16,9 +17,9 @@
 #endif
 #define NONE 255
 
-mtype = { connecting, starting_up, idle, busy, cancelling, closed,
+mtype = { connecting, starting_up, idle, busy, sending, cancelling, closed,
           created, statement_sent, awaiting_permission, streaming, finished,
-          e_connected, e_ready, e_statement_sent, e_attempt_dropped, e_cancel_sent, e_statement_finished,
+          e_connected, e_ready, e_statement_sent, e_write_blocked, e_write_completed, e_attempt_dropped, e_cancel_sent, e_statement_finished,
           e_finished_unusable, e_connection_lost, e_closed_locally,
           e_connect, e_send_statement, e_exceed_buffer, e_allow_stream, e_cancel, e_finish,
           nothing, answered, refused, gone,      /* on its way from an engine */
@@ -41,6 +42,9 @@
   byte statement;          /* of the engine's session: whose it runs; NONE */
   byte number;             /* of that statement */
   bool cancel;             /* a cancel request is out, */
+#ifdef PLANT_PARTIAL
+  byte rest;               /* the request whose statement is written on after its end; NONE */
+#endif
   byte meant               /* for the statement of this number */
 };
 
@@ -71,6 +75,11 @@
   :: link[l].state == busy && event == e_finished_unusable -> link[l].state = closed
   :: link[l].state == busy && event == e_connection_lost -> link[l].state = closed
   :: link[l].state == busy && event == e_closed_locally -> link[l].state = closed
+  :: link[l].state == busy && event == e_write_blocked -> link[l].state = sending
+  :: link[l].state == sending && event == e_write_completed -> link[l].state = busy
+  :: link[l].state == sending && event == e_finished_unusable -> link[l].state = closed
+  :: link[l].state == sending && event == e_connection_lost -> link[l].state = closed
+  :: link[l].state == sending && event == e_closed_locally -> link[l].state = closed
   :: link[l].state == cancelling && event == e_finished_unusable -> link[l].state = closed
   :: link[l].state == cancelling && event == e_connection_lost -> link[l].state = closed
   :: link[l].state == cancelling && event == e_closed_locally -> link[l].state = closed
@@ -127,11 +136,8 @@
   fi
 }
 
-inline write_statement(l) {
-  link_step(l, e_statement_sent);
-  try_step(NUMBER(link[l].request, link[l].try), e_send_statement);
-  assert(link[l].statement == NONE);                       /* never before ReadyForQuery */
-  assert(!drain_known);                                    /* no drained engine is sent to */
+/* The engine receives the last byte of the statement. */
+inline statement_arrives(l) {
   assert(!request[link[l].request].told);                  /* nothing after the final answer */
   assert(request[link[l].request].at_engines == 0);        /* copies are off: never two out */
   assert(!request[link[l].request].unsafe || request[link[l].request].ran == 0);
@@ -141,6 +147,18 @@
   request[link[l].request].ran++
 }
 
+/* The first byte is written, and all others or only a part of them. */
+inline write_statement(l) {
+  link_step(l, e_statement_sent);
+  try_step(NUMBER(link[l].request, link[l].try), e_send_statement);
+  assert(link[l].statement == NONE);                       /* never before ReadyForQuery */
+  assert(!drain_known);                                    /* no drained engine is sent to */
+  if
+  :: statement_arrives(l)
+  :: link_step(l, e_write_blocked)
+  fi
+}
+
 proctype strand() {
   byte r, n;
   mtype how;
@@ -227,6 +245,9 @@
                    link[l].cancel = true;
                    link[l].meant = link[l].number;
                    not_out(l)
+                :: link[l].state == sending ->             /* the rest is never written */
+                   end_try(l, t_unknown);
+                   link_step(l, e_closed_locally)
                 :: else
                 fi
              :: else
@@ -292,6 +313,22 @@
 #endif
           fi
        fi
+    :: link[l].state == sending ->
+       if
+       :: link_step(l, e_write_completed); statement_arrives(l)
+       :: end_try(l, t_unknown); link_step(l, e_connection_lost)
+#ifndef PLANT_PARTIAL
+       :: end_try(l, t_unrun); link_step(l, e_finished_unusable)  /* rejected before all of it has come */
+#else
+       :: link[l].rest = link[l].request; end_try(l, t_unrun); link[l].state = idle
+#endif
+       fi
+#ifdef PLANT_PARTIAL
+    :: link[l].state == idle && link[l].rest != NONE ->
+       assert(!request[link[l].rest].unsafe || request[link[l].rest].ran == 0);
+       request[link[l].rest].ran++;
+       link[l].rest = NONE
+#endif
     :: link[l].coming == answered || link[l].coming == refused ->
        if :: link[l].state == busy -> not_out(l) :: else fi;
        link[l].statement = NONE;
@@ -369,6 +406,9 @@
 #endif
     link[0].state = closed; link[0].request = NONE; link[0].statement = NONE; link[0].coming = nothing;
     link[1].state = closed; link[1].request = NONE; link[1].statement = NONE; link[1].coming = nothing;
+#ifdef PLANT_PARTIAL
+    link[0].rest = NONE; link[1].rest = NONE;
+#endif
     attempt[0] = created; attempt[1] = created; attempt[2] = created; attempt[3] = created;
     run strand();
     run shard();
--- a/model/check.sh
+++ b/model/check.sh
@@ -15,8 +15,8 @@
   [ "$(run $world)" = "errors: 0" ] || { echo "attempt.pml $world: a property is broken"; exit 1; }
 done
 for plant in "-DTRIES=1 -DLINKS=1 -DPLANT_REUSE" "-DONE_REQUEST -DUNSAFE -DPLANT_RESEND" "-DONE_REQUEST -DPLANT_ORDER" \
-             "-DONE_REQUEST -DPLANT_LATE_DIAL"; do
+             "-DONE_REQUEST -DPLANT_LATE_DIAL" "-DONE_REQUEST -DUNSAFE -DPLANT_PARTIAL"; do
   # shellcheck disable=SC2086
   [ "$(run $plant)" = "errors: 1" ] || { echo "attempt.pml $plant: the fault is not found"; exit 1; }
 done
-echo "attempt.pml: kept in 3 worlds, 4 faults found"
+echo "attempt.pml: kept in 3 worlds, 5 faults found"
--- a/src/explore/model.cpp
+++ b/src/explore/model.cpp
@@ -240,6 +240,7 @@
   wire->to = to;
   wire->peer = peer;
   wire->connecting = true;
+  if (to_engine) wire->room = setting_.plan.engine_window;
   footprint_.add(Footprint::dials);
   footprint_.wire(wire->id);
   for (const auto& other : wires_)
@@ -303,6 +304,7 @@
     const auto type = frame.message.type;
     const std::string payload(frame.message.payload);
     s.in.erase(0, frame.size);
+    if (std::exchange(s.rejected_early, false)) continue;
     if (type == 'Q') statement(wire, std::string(sql::read_text(payload).value_or("")));
     if (type == 'P') s.text = std::string(sql::read_parse(payload).value_or("")), s.extended = true;
     if (type == 'S') statement(wire, s.text);
@@ -395,6 +397,7 @@
   return std::ranges::any_of(wires_, [](const auto& w) {
     if (w->closed) return false;
     if (w->connecting) return true;
+    if (w->to == WireState::To::engine && w->room_wanted) return true;
     return w->reading && (!w->to_router.empty() || w->end || w->reset);
   });
 }
@@ -469,9 +472,9 @@
 std::optional<Choice> Model::fair() const {
   std::vector<Choice> all;
   choices(all);
-  constexpr std::array order{Kind::reads,   Kind::deferred, Kind::told,  Kind::ordered, Kind::connected,
-                             Kind::deliver, Kind::over,     Kind::timer, Kind::due,     Kind::cancel,
-                             Kind::finish,  Kind::answer,   Kind::send};
+  constexpr std::array order{Kind::reads,     Kind::engine_reads, Kind::deferred, Kind::told,  Kind::ordered,
+                             Kind::connected, Kind::deliver,      Kind::over,     Kind::timer, Kind::due,
+                             Kind::cancel,    Kind::finish,       Kind::answer,   Kind::send};
   for (const auto kind : order)
     for (const auto& choice : all)
       if (choice.kind == kind && (choice.b == 0 || kind == Kind::over)) return choice;
--- a/src/explore/model.hpp
+++ b/src/explore/model.hpp
@@ -41,11 +41,12 @@
   unsigned hangs = 0;        // statements that engines never answer, unless cancelled
   unsigned returns = 0;      // engines that drain and are listed as ready again
   std::chrono::milliseconds stall{400};
-  unsigned room = 0;       // bytes that a client's side takes before it must read; 0: no limit
-  std::string more{};      // of the router's configuration, YAML
-  bool liar = false;       // engines answer with rows of another request: what the search must find
-  bool pipelined = false;  // clients send their next request before an answer
-  bool platform = false;   // the operators' platform: frames from clients, calls to engines
+  unsigned room = 0;           // bytes that a client's side takes before it must read; 0: no limit
+  unsigned engine_window = 0;  // bytes that an engine's side accepts before it must read; 0: no limit
+  std::string more{};          // of the router's configuration, YAML
+  bool liar = false;           // engines answer with rows of another request: what the search must find
+  bool pipelined = false;      // clients send their next request before an answer
+  bool platform = false;       // the operators' platform: frames from clients, calls to engines
   [[nodiscard]] bool graphql() const {
     for (const auto& client : clients)
       for (const auto& asked : client)
@@ -55,28 +56,30 @@
 };
 
 enum class Kind : std::uint8_t {
-  send,        // client a sends its next request; b: whole, or cut after the first byte / before the last
-  leave,       // client a closes (b 0) or resets (b 1) its connection
-  connected,   // wire a stands
-  refused,     // wire a is refused
-  deliver,     // wire a: what waits reaches the router; b 1: its first byte only
-  over,        // wire a: its end (b 0) or reset (b 1) reaches the router
-  answer,      // the engine of wire a answers; b: Answering
-  finish,      // the rest of a half answer
-  idle_close,  // the engine of wire a closes it between statements
-  cancel,      // the engine reads the cancel request on wire a
-  told,        // the strand reads what the shards told
-  ordered,     // shard a reads its orders
-  timer,       // timer a, whose time has come
-  deferred,    // the shards' next deferred call
-  due,         // the strand's own time has come
-  list,        // engine a is told draining (b 0) or ready again (b 1)
-  pass,        // time goes on to the next thing that is due
-  stall,       // the router has no turn for a while
-  reads,       // client a reads what has come, and has room again
-  restart,     // the router dies, and another begins in its place
+  send,          // client a sends its next request; b: whole, or cut after the first byte / before the last
+  leave,         // client a closes (b 0) or resets (b 1) its connection
+  connected,     // wire a stands
+  refused,       // wire a is refused
+  deliver,       // wire a: what waits reaches the router; b 1: its first byte only
+  over,          // wire a: its end (b 0) or reset (b 1) reaches the router
+  answer,        // the engine of wire a answers; b: Answering
+  finish,        // the rest of a half answer
+  idle_close,    // the engine of wire a closes it between statements
+  cancel,        // the engine reads the cancel request on wire a
+  told,          // the strand reads what the shards told
+  ordered,       // shard a reads its orders
+  timer,         // timer a, whose time has come
+  deferred,      // the shards' next deferred call
+  due,           // the strand's own time has come
+  list,          // engine a is told draining (b 0) or ready again (b 1)
+  pass,          // time goes on to the next thing that is due
+  stall,         // the router has no turn for a while
+  reads,         // client a reads what has come, and has room again
+  restart,       // the router dies, and another begins in its place
+  engine_reads,  // the engine of wire a reads what has come, and accepts more bytes
 };
-enum class EngineReply : std::uint8_t { whole, half, turned_away, error, reset, never, blocked };
+// early: the engine rejects a statement of which it has received a part, and drops the rest of it.
+enum class EngineReply : std::uint8_t { whole, half, turned_away, error, reset, never, blocked, early };
 
 struct Choice {
   Kind kind = Kind::pass;
@@ -156,8 +159,10 @@
     std::uint32_t cancels = 0;        // of a cancel wire: the process it names,
     std::uint64_t cancel_target = 0;  // and its statement then
     bool cancel_read = false;
-    std::string removes;  // the platform's: the query that a call gives up
-    bool posted = false;  // its call starts the query, and does not ask for it
+    std::string removes;          // the platform's: the query that a call gives up
+    bool posted = false;          // its call starts the query, and does not ask for it
+    bool rejected_early = false;  // the statement that is arriving is rejected already
+    bool rejection_read = false;  // and the router has read so
   };
   // A query of the platform's at its engine: no connection owns it.
   struct Query {
@@ -202,6 +207,9 @@
   void change_endpoint_state(const Choice& choice);
   void restart_router();
   void read_response_bytes(const Choice& choice);
+  void read_statement_bytes(const Choice& choice);
+  [[nodiscard]] bool statement_incomplete(const WireState& wire) const;
+  void reject_early(WireState& wire);
   void touch(const Choice& choice);  // what it concerns by its kind
   void runs(std::size_t shard);      // code of this shard
   void check_books();
--- a/src/explore/model_choices.cpp
+++ b/src/explore/model_choices.cpp
@@ -72,6 +72,12 @@
 
 void Model::add_engine_choices(std::vector<Choice>& out, const WireState& wire) const {
   const auto& session = wire.session;
+  if (wire.room_wanted) {
+    add(out, Kind::engine_reads, wire.id);
+    if (failures_ > 0 && statement_incomplete(wire) && !session.rejected_early)
+      for (const auto how : {EngineReply::early, EngineReply::reset})
+        add(out, Kind::answer, wire.id, static_cast<unsigned>(how));
+  }
   if (session.cancels != 0 || !session.removes.empty()) {
     if (!session.cancel_read) add(out, Kind::cancel, wire.id);
     return;
--- a/src/explore/model_hash.cpp
+++ b/src/explore/model_hash.cpp
@@ -124,7 +124,7 @@
   std::uint64_t flags = 0;
   unsigned bit = 0;
   for (const bool flag : {wire.connecting, wire.reading, wire.closed, wire.end, wire.reset, wire.seen,
-                          s.cancel_read, s.unrun, wire.gone, s.hung})
+                          s.cancel_read, s.unrun, wire.gone, s.hung, s.rejected_early, s.rejection_read})
     flags |= static_cast<std::uint64_t>(flag) << bit++;
   return flags;
 }
--- a/src/explore/model_parts.hpp
+++ b/src/explore/model_parts.hpp
@@ -19,7 +19,7 @@
   std::optional<Time> arrived;      // since when bytes of it wait, where a stall has hit them
   bool end = false, reset = false;  // on their way to the router, after what waits
   bool seen = false;                // that it is known to the router's kernel
-  std::size_t room = 0;             // where the client's side has a limit
+  std::size_t room = 0;             // where the client's or engine's side has a limit
   bool gone = false;                // its end was read
   bool refused = false;             // by the machine: no process listens there
   Session session;
@@ -38,7 +38,12 @@
     if (closed || (seen && reset)) return std::nullopt;
     std::string bytes;
     for (const auto piece : pieces) bytes += piece;
+    if (to == To::engine && sim->setting_.plan.engine_window > 0) {
+      bytes.resize(std::min<std::size_t>(bytes.size(), room));
+      room -= bytes.size();
+    }
     log("write", bytes);
+    if (session.rejection_read && !bytes.empty()) sim->properties_.written_after_rejection(peer);
     if (to == To::engine && seen && end && !bytes.starts_with('X')) sim->properties_.written_past_end(peer);
     if (reset || end) return bytes.size();  // it crosses the end, and nobody reads it
     if (to == To::client) {
--- a/src/explore/model_steps.cpp
+++ b/src/explore/model_steps.cpp
@@ -37,7 +37,10 @@
       for (std::size_t n = 0; n + (client.rest.empty() ? 0 : 1) < client.sent; ++n)
         properties_.request_arrived(setting_.plan.clients[wire.peer][n].id, wire.arrived.value_or(now_));
     }
-  } else if (wire.to_router.empty() && wire.session.running.empty() && !wire.session.ended.empty()) {
+    return;
+  }
+  if (wire.to_router.empty()) wire.session.rejection_read = wire.session.rejected_early;
+  if (wire.to_router.empty() && wire.session.running.empty() && !wire.session.ended.empty()) {
     properties_.attempt_over(std::exchange(wire.session.ended, {}), wire.id, wire.session.unrun);
   }
 }
@@ -118,6 +121,7 @@
 void Model::answer_statement(const Choice& choice) {
   auto& wire = *wires_[choice.a];
   const auto how = static_cast<EngineReply>(choice.b);
+  if (how == EngineReply::early) return reject_early(wire);
   const bool as_call = setting_.plan.platform && how != EngineReply::never && how != EngineReply::reset;
   if (how == EngineReply::half) --splits_;
   if (how == EngineReply::turned_away || how == EngineReply::error || how == EngineReply::reset) --failures_;
@@ -149,6 +153,7 @@
       session.hung = true;
       return;
     case EngineReply::blocked:  // the platform's alone
+    case EngineReply::early:    // reject_early()
       return;
     case EngineReply::reset:
       wire.reset = true;
@@ -265,6 +270,34 @@
   if (const auto user = wire.user.lock()) user->on_writable();
 }
 
+void Model::read_statement_bytes(const Choice& choice) {
+  auto& wire = *wires_[choice.a];
+  wire.room = setting_.plan.engine_window;
+  wire.room_wanted = false;
+  wire.log("window");
+  if (const auto user = wire.user.lock()) user->on_writable();
+}
+
+// Whether the engine has received a part of a statement, and enough of it to reject it.
+bool Model::statement_incomplete(const WireState& wire) const {
+  const auto& session = wire.session;
+  if (!session.running.empty()) return false;
+  if (setting_.plan.platform)
+    return session.in.starts_with("POST") && session.in.find("\r\n\r\n") != std::string::npos;
+  return session.ready && session.in.starts_with('Q');
+}
+
+void Model::reject_early(WireState& wire) {
+  --failures_;
+  wire.session.rejected_early = true;
+  if (setting_.plan.platform) {
+    wire.to_router += "HTTP/1.1 503 Full\r\nX-No-Effect: 1\r\nContent-Length: 0\r\n\r\n";
+    return;
+  }
+  sql::put_error(wire.to_router, {"ERROR", "53300", "too many connections"});
+  sql::put_ready(wire.to_router);
+}
+
 void Model::act(const Choice& choice) {
   scratch_.clear();
   put(scratch_,
@@ -314,6 +347,8 @@
       return restart_router();
     case Kind::reads:
       return read_response_bytes(choice);
+    case Kind::engine_reads:
+      return read_statement_bytes(choice);
   }
 }
 
@@ -375,6 +410,8 @@
       return;
     case Kind::reads:
       return wire(clients_[choice.a].wire);
+    case Kind::engine_reads:
+      return wire(choice.a);
     case Kind::idle_close:  // whose budget has no bit
     case Kind::list:
     case Kind::pass:
--- a/src/explore/model_text.cpp
+++ b/src/explore/model_text.cpp
@@ -46,13 +46,14 @@
     case Kind::over:
       return fmt::format("the router reads the {} of {}", choice.b == 0 ? "end" : "reset", wire(choice.a));
     case Kind::answer: {
-      constexpr std::array<const char*, 7> how{"answers",
+      constexpr std::array<const char*, 8> how{"answers",
                                                "answers the first half of",
                                                "turns away (53300)",
                                                "answers an error to",
                                                "resets instead of answering",
                                                "will never answer",
-                                               "is blocked by a load in"};
+                                               "is blocked by a load in",
+                                               "rejects a part of a statement"};
       return fmt::format("{} {}{} on {}", engine_name(wires_[choice.a]->peer), how.at(choice.b),
                          more(choice.a), wire(choice.a));
     }
@@ -85,6 +86,8 @@
       return "the router dies and begins anew; its clients connect again";
     case Kind::reads:
       return fmt::format("client {} reads what has come", choice.a + 1);
+    case Kind::engine_reads:
+      return fmt::format("{} reads what has come on {}", engine_name(wires_[choice.a]->peer), wire(choice.a));
   }
   return "";
 }
--- a/src/explore/platform.cpp
+++ b/src/explore/platform.cpp
@@ -114,6 +114,7 @@
     const auto size = told.empty() ? 0 : std::stoul(std::string(told));
     if (s.in.size() < end + 4 + size) return;
     s.in.erase(0, end + 4 + size);
+    if (std::exchange(s.rejected_early, false)) continue;
     ++s.statements;
     s.posted = head.starts_with("POST");
     if (head.starts_with("DELETE")) {
--- a/src/explore/properties.cpp
+++ b/src/explore/properties.cpp
@@ -87,6 +87,10 @@
   fails("nothing is written to a connection whose end has come", engine_name(engine) + " had closed it");
 }
 
+void Properties::written_after_rejection(std::uint16_t engine) {
+  fails("no statement is written on after its end", engine_name(engine) + " had rejected a part of it");
+}
+
 void Properties::cancel_met(std::string_view meant, std::string_view met, bool same) {
   if (!same) fails("no cancel hits another statement", fmt::format("one meant for {} hit {}", meant, met));
 }
--- a/src/explore/properties.hpp
+++ b/src/explore/properties.hpp
@@ -55,6 +55,8 @@
   void never_began(const std::string& statement);
   void begun_for_nobody(const std::string& statement);
   void written_past_end(std::uint16_t engine);
+  // The router has read that the engine rejects a statement, and writes the rest of it or another one behind.
+  void written_after_rejection(std::uint16_t engine);
   void cancel_met(std::string_view meant, std::string_view met, bool same);
   // ---- what has reached the router ----------------------------------------------------------------------
   void request_arrived(const std::string& request, Time at);
--- a/src/explore/worlds.cpp
+++ b/src/explore/worlds.cpp
@@ -278,6 +278,18 @@
        .platform = true});
 }
 
+// Statements that reach their engine in parts. The engine may reject one before it has received all of it.
+void add_partial_write_worlds(std::vector<ModelPlan>& plans) {
+  plans.push_back({.name = "node-partial",
+                   .about = "the platform: a start reaches its engine in parts, and may be rejected before",
+                   .clients = {{{.id = "w1", .cls = "load"}, {.id = "q1", .cls = "lookup"}}},
+                   .leaves = 1,
+                   .failures = 1,
+                   .passes = 2,
+                   .engine_window = 135,
+                   .platform = true});
+}
+
 std::vector<ModelPlan> all() {
   std::vector<ModelPlan> plans;
   add_attempt_worlds(plans);
@@ -285,6 +297,7 @@
   add_decision_worlds(plans);
   add_failure_worlds(plans);
   add_platform_worlds(plans);
+  add_partial_write_worlds(plans);
   return plans;
 }
 
--- a/src/path/query_call_connection.cpp
+++ b/src/path/query_call_connection.cpp
@@ -170,6 +170,7 @@
   put_next_call(starts);
   const auto call_bytes = write_buffer_.size();
   if (!flush() && write_buffer_.size() == call_bytes) return false;
+  if (!write_buffer_.empty()) apply(state_, EngineConnectionEvent::write_blocked);
   start_incomplete_ = starts && attempt_->ticket != 0 && !write_buffer_.empty();
   if (starts) {
     attempt_->first_byte_sent_at = now;
@@ -199,7 +200,9 @@
     return shard_.end_attempt(attempt, calls::attempt_result_of(calls::CallResult::not_written));
   }
   if (!flush()) return fail(Failure::broken);
-  start_incomplete_ = start_incomplete_ && !write_buffer_.empty();
+  if (state_ != EngineConnectionState::sending || !write_buffer_.empty()) return;
+  apply(state_, EngineConnectionEvent::write_completed);
+  start_incomplete_ = false;
 }
 
 void QueryCallConnection::on_closed(bool) {
@@ -213,14 +216,14 @@
 
 void QueryCallConnection::on_data(std::string_view bytes) {
   const auto self = shared_from_this();
-  if (state_ != EngineConnectionState::busy) return fail(Failure::broken);  // no call is in flight
+  if (!call_in_flight()) return fail(Failure::broken);
   read_buffer_ += bytes;
   parse();
 }
 
 void QueryCallConnection::parse() {
   std::size_t used = 0;
-  while (state_ == EngineConnectionState::busy) {
+  while (call_in_flight()) {
     const auto read = parser_.next(std::string_view(read_buffer_).substr(used));
     used += read.consumed;
     using Event = http::Parser::Event;
@@ -254,6 +257,7 @@
 void QueryCallConnection::on_response() {
   timer_->cancel();
   response_received_ = true;
+  if (state_ == EngineConnectionState::sending) return on_early_response();
   if (attempt_->ticket == 0) return on_health_check_response();
   if (parser_.status() == calls::kPageStatus && !read_buffer_.empty()) {
     shard_.metrics().pages_discarded->Increment();
@@ -263,6 +267,18 @@
   on_page();
 }
 
+// Handles a response that is complete before its call is written. An engine may reject a start as soon as it
+// has seen the head. No other response can belong to a call that the engine has not received completely: it
+// may be a late duplicate of an earlier one.
+void QueryCallConnection::on_early_response() {
+  const auto status = calls::read_status(parser_, response_body_);
+  const bool never_ran = status.state == calls::QueryStatus::State::finished &&
+                         (status.result == calls::CallResult::rejected_full ||
+                          status.result == calls::CallResult::rejected_too_late);
+  if (!start_incomplete_ || !never_ran) return fail(Failure::broken);
+  finish(calls::attempt_result_of(status.result));
+}
+
 // Status 200 means healthy and 503 unhealthy. Any other status is not a valid response to a health check.
 void QueryCallConnection::on_health_check_response() {
   constexpr int kHealthy = 200, kUnhealthy = 503;
@@ -320,8 +336,8 @@
 void QueryCallConnection::finish(AttemptResult result) {
   const auto attempt = std::exchange(attempt_, nullptr);
   auto* pool = shard_.pool(engine_);
-  const bool usable = read_buffer_.empty() && parser_.keep_alive() && pool != nullptr && pool->accepts_work &&
-                      pool->address == address_;
+  const bool usable = state_ == EngineConnectionState::busy && read_buffer_.empty() && parser_.keep_alive() &&
+                      pool != nullptr && pool->accepts_work && pool->address == address_;
   if (usable) {
     apply(state_, EngineConnectionEvent::statement_finished);
     idle_since_ = shard_.now();
@@ -386,14 +402,15 @@
 void QueryCallConnection::close(EngineConnectionEvent event) {
   if (state_ == EngineConnectionState::closed) return;
   const auto self = shared_from_this();
-  // A connection with a call in flight is reset, which discards data that is not delivered yet. Otherwise the
-  // call could remain in the buffers of the operating system, arrive late, and start or poll a query that the
-  // router considers finished.
-  const bool call_in_flight =
+  // A connection with a call that has no response is reset, which discards data that is not delivered yet.
+  // Otherwise the call could remain in the buffers of the operating system, arrive late, and start or poll a
+  // query that the router considers finished.
+  const bool unanswered =
       state_ == EngineConnectionState::busy && event != EngineConnectionEvent::finished_unusable;
+  const bool reset = unanswered || state_ == EngineConnectionState::sending;
   apply(state_, event);
   if (auto* pool = shard_.pool(engine_)) pool->remove(number_, self);
-  stream_->close(call_in_flight);
+  stream_->close(reset);
   timer_->cancel();
   shard_.descriptor_freed();
 }
--- a/src/path/query_call_connection.hpp
+++ b/src/path/query_call_connection.hpp
@@ -5,6 +5,16 @@
 // each page of the result with one call. A query does not depend on a connection: if the connection is lost,
 // the attempt polls the query on another one. The call that starts a query is sent at most once.
 //
+// A call may be written in part while the engine's side accepts no more bytes. What happens then:
+//
+//   seen before the call is written          connection     attempt
+//   1xx                                      kept           goes on
+//   503 or 504 with X-No-Effect, to a start  reset          ends as that response says: it never ran
+//   any other response, or a malformed one   reset          polls on another connection: it may have run
+//   reset, close, timeout                    closed, reset  polls on another connection
+//   the client leaves, the deadline passes   reset          ends: an incomplete start never runs
+//   the attempt is cancelled                 reset          ends once the query is deleted
+//
 // All calls are made on the thread of the shard. The states are listed in EngineConnectionState
 // (state_tables.hpp).
 #pragma once
@@ -48,6 +58,7 @@
   bool flush();
   void parse();
   void on_response();
+  void on_early_response();
   void on_health_check_response();
   void on_status();
   void on_page();
@@ -59,6 +70,9 @@
   void fail_after_start(const AttemptPtr& attempt, Failure failure);
   void close(EngineConnectionEvent event);
   void on_timeout();
+  [[nodiscard]] bool call_in_flight() const {
+    return state_ == EngineConnectionState::busy || state_ == EngineConnectionState::sending;
+  }
   void set_timeout(Time duration) { timer_->set(shard_.now() + duration); }
 
   Shard& shard_;
--- a/src/path/state_tables.cpp
+++ b/src/path/state_tables.cpp
@@ -12,17 +12,19 @@
 using Names5 = std::array<std::string_view, 5>;
 using Names6 = std::array<std::string_view, 6>;
 using Names7 = std::array<std::string_view, 7>;
-using Names9 = std::array<std::string_view, 9>;
+using Names11 = std::array<std::string_view, 11>;
 
 }  // namespace
 
 std::string_view name_of(EngineConnectionState state) {
-  return name_at(Names6{"connecting", "starting_up", "idle", "busy", "cancelling", "closed"}, state);
+  return name_at(Names7{"connecting", "starting_up", "idle", "busy", "sending", "cancelling", "closed"},
+                 state);
 }
 std::string_view name_of(EngineConnectionEvent event) {
-  return name_at(Names9{"connected", "ready", "statement_sent", "attempt_dropped", "cancel_sent",
-                        "statement_finished", "finished_unusable", "connection_lost", "closed_locally"},
-                 event);
+  return name_at(
+      Names11{"connected", "ready", "statement_sent", "write_blocked", "write_completed", "attempt_dropped",
+              "cancel_sent", "statement_finished", "finished_unusable", "connection_lost", "closed_locally"},
+      event);
 }
 std::string_view name_of(ClientConnectionState state) {
   return name_at(Names5{"reading", "finishing", "flushing", "lingering", "closed"}, state);
--- a/src/path/state_tables.hpp
+++ b/src/path/state_tables.hpp
@@ -15,15 +15,26 @@
 namespace heronwell::path {
 
 // ---- a connection to an engine ---------------------------------------------------------------------------
-enum class EngineConnectionState : std::uint8_t { connecting, starting_up, idle, busy, cancelling, closed };
+enum class EngineConnectionState : std::uint8_t {
+  connecting,   // the stream is being established
+  starting_up,  // established; the start-up is not complete
+  idle,         // ready for a statement or call; no byte of an earlier one is left to write
+  busy,         // a statement or call is written; its response is pending
+  sending,      // a statement or call is written in part; the stream accepts no more bytes at present
+  cancelling,   // a cancel request is sent; the rest of the response is discarded
+  closed
+};
 enum class EngineConnectionEvent : std::uint8_t {
   connected,           // the stream is established
   ready,               // ReadyForQuery was received after the start-up
   statement_sent,      // the first byte of a statement was written
+  write_blocked,       // a part of a statement or call is left to write
+  write_completed,     // that part is written
   attempt_dropped,     // the attempt ended before a byte was written; the start-up continues
   cancel_sent,         // a cancel request is sent
   statement_finished,  // ReadyForQuery was received after the statement
-  finished_unusable,   // the same, but not reusable: engine drained or moved, or transaction left open
+  finished_unusable,   // the same, but not reusable: engine drained or moved, transaction left open, or the
+                       // statement was not written completely
   connection_lost,     // closed or reset by the engine, malformed data received, or timed out
   closed_locally,      // closed by the router: engine drained, idle for too long, unusable, or shutdown
 };
@@ -114,6 +125,20 @@
         EngineConnectionState::busy, EngineConnectionEvent::connection_lost, EngineConnectionState::closed},
     Transition<EngineConnectionState, EngineConnectionEvent>{
         EngineConnectionState::busy, EngineConnectionEvent::closed_locally, EngineConnectionState::closed},
+    Transition<EngineConnectionState, EngineConnectionEvent>{
+        EngineConnectionState::busy, EngineConnectionEvent::write_blocked, EngineConnectionState::sending},
+    // From `sending` no row leads to `idle`. Failure: the engine ends a statement of which it has seen a part;
+    // the connection is reused, and the rest of the old statement is written after its attempt has ended.
+    Transition<EngineConnectionState, EngineConnectionEvent>{
+        EngineConnectionState::sending, EngineConnectionEvent::write_completed, EngineConnectionState::busy},
+    Transition<EngineConnectionState, EngineConnectionEvent>{EngineConnectionState::sending,
+                                                             EngineConnectionEvent::finished_unusable,
+                                                             EngineConnectionState::closed},
+    Transition<EngineConnectionState, EngineConnectionEvent>{EngineConnectionState::sending,
+                                                             EngineConnectionEvent::connection_lost,
+                                                             EngineConnectionState::closed},
+    Transition<EngineConnectionState, EngineConnectionEvent>{
+        EngineConnectionState::sending, EngineConnectionEvent::closed_locally, EngineConnectionState::closed},
     Transition<EngineConnectionState, EngineConnectionEvent>{EngineConnectionState::cancelling,
                                                              EngineConnectionEvent::finished_unusable,
                                                              EngineConnectionState::closed},
--- a/tests/router/platform_test.cpp
+++ b/tests/router/platform_test.cpp
@@ -254,6 +254,17 @@
     EXPECT_TRUE(dialled_.empty());
     EXPECT_EQ(attempt_results(), std::vector{AttemptResult::never_started});
   }
+  // Dispatches an attempt for a new request with id `n` to engine 7, which accepts 20 bytes of the start.
+  // Removes all connections and events of earlier attempts from the records of the test.
+  FakeStreamPtr start_partially(unsigned n) {
+    dialled_.clear();
+    published_events_.clear();
+    dispatch_attempt(send_request(connect_client(), n), 0, 7);
+    dialled_[0]->partial_writes_left = 1;
+    dialled_[0]->connect();
+    EXPECT_EQ(dialled_[0]->written.size(), 20U);
+    return dialled_[0];
+  }
   static std::string http_response(const std::string& head, const std::string& body = "") {
     return "HTTP/1.1 " + head + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
   }
@@ -460,6 +471,77 @@
   }
 }
 
+// An engine that is full rejects a start as soon as it has seen the head. If the connection were reused, the rest
+// of the start would be written after its attempt has ended.
+TEST_F(Platform, RejectionOfAPartialStartEndsItsConnection) {
+  const std::vector<std::pair<std::string, AttemptResult>> rejections{
+      {"503 Full\r\nX-No-Effect: 1\r\n", AttemptResult::rejected},
+      {"504 Too late\r\nX-No-Effect: 1\r\n", AttemptResult::never_started}};
+  for (const auto& [head, result] : rejections) {
+    const auto engine = start_partially(result == AttemptResult::rejected ? 1 : 2);
+    engine->deliver(http_response(head));
+    EXPECT_EQ(attempt_results(), std::vector{result});
+    EXPECT_TRUE(engine->closed_by_reset);
+    engine->partial_writes_left.reset();
+    engine->become_writable();
+    EXPECT_EQ(engine->written.size(), 20U) << "expected nothing of the start to be written after its end";
+    dispatch_attempt(send_request(connect_client(), result == AttemptResult::rejected ? 3 : 4), 0, 7);
+    EXPECT_EQ(dialled_.size(), 2U) << "expected a new connection for the next attempt";
+  }
+}
+
+// Only a rejection can belong to a start of which the engine has seen a part. Any other response may be a late
+// duplicate of an earlier one, and must not end the attempt.
+TEST_F(Platform, OtherResponsesToAPartialStartAreNotTrusted) {
+  unsigned n = 0;
+  for (const auto& response :
+       {http_response("200 OK\r\nX-Parts: 1\r\n", kRows), http_response("202 Accepted\r\n"),
+        http_response("500 Error\r\n"), http_response("503 Full\r\n"), http_response("504 Too late\r\n"),
+        std::string("HTTP/1.1 \x01\r\n\r\n")}) {
+    const auto engine = start_partially(++n);
+    engine->deliver(response);
+    EXPECT_TRUE(attempt_results().empty()) << response;
+    EXPECT_TRUE(engine->closed_by_reset);
+    ASSERT_EQ(dialled_.size(), 2U);
+    dialled_[1]->connect();
+    EXPECT_TRUE(dialled_[1]->written.starts_with("GET /x/" + request_id(n) + "/0 HTTP/1.1\r\n"));
+    dialled_[1]->deliver(http_response("500 Unknown\r\n"));
+    EXPECT_EQ(attempt_results(), std::vector{AttemptResult::error});
+    dialled_[1]->reset();
+  }
+}
+
+TEST_F(Platform, InterimResponseToAPartialStartChangesNothing) {
+  const auto engine = start_partially(1);
+  engine->deliver("HTTP/1.1 102 Processing\r\n\r\n");
+  EXPECT_FALSE(engine->closed);
+  engine->partial_writes_left.reset();
+  engine->become_writable();
+  EXPECT_TRUE(engine->written.ends_with("select * from sales_17.orders"));
+  engine->deliver(http_response("200 OK\r\nX-Parts: 1\r\n", kRows));
+  EXPECT_EQ(attempt_results(), std::vector{AttemptResult::served});
+  EXPECT_FALSE(engine->closed) << "expected a connection whose call was written completely to be kept";
+}
+
+// A lost connection or a silent engine proves nothing: the query is polled on another connection.
+TEST_F(Platform, PartialStartThatIsLostOrTimesOutIsPolledOnAnotherConnection) {
+  for (const bool lost : {true, false}) {
+    const auto engine = start_partially(lost ? 1 : 2);
+    if (lost)
+      engine->reset();
+    else
+      advance_to(now_ + 900ms);
+    EXPECT_TRUE(attempt_results().empty());
+    EXPECT_TRUE(engine->closed_by_reset);
+    ASSERT_EQ(dialled_.size(), 2U);
+    dialled_[1]->connect();
+    EXPECT_TRUE(dialled_[1]->written.starts_with("GET"));
+    dialled_[1]->deliver(http_response("500 Unknown\r\n"));
+    EXPECT_EQ(attempt_results(), std::vector{AttemptResult::error});
+    dialled_[1]->reset();
+  }
+}
+
 TEST_F(Platform, DoesNotStartAnAttemptAfterADescriptorWaitIfTheClientHasLeft) {
   const auto max_connections = static_cast<unsigned>(config_.engines.connections);
   for (unsigned n = 1; n <= max_connections; ++n) dispatch_attempt(send_request(connect_client(), n), 0, 7);
