A PostgreSQL statement written in part is never written on after its attempt ended

Callers would see: with `serve`, a statement that must not run twice runs twice, or runs after a rejection, where an engine (or a proxy) answers a statement before it has all of it and keeps the connection.

Cause: ErrorResponse and ReadyForQuery ended the attempt (53300: never began) and put the connection among the idle ones, with the rest of the statement still to be written. A cancelled statement was completed in the same way.

Change: EngineConnectionState::sending for this side too. An error ends the attempt by its code and closes the connection; a result without an error is not trusted; a cancelled statement closes its connection instead of a cancel request.

--- a/src/explore/worlds.cpp
+++ b/src/explore/worlds.cpp
@@ -280,6 +280,13 @@
 
 // Statements that reach their engine in parts. The engine may reject one before it has received all of it.
 void add_partial_write_worlds(std::vector<ModelPlan>& plans) {
+  plans.push_back({.name = "partial",
+                   .about = "a statement reaches its engine in parts, and may be rejected before it is whole",
+                   .clients = {{{.id = "w1", .cls = "load"}, {.id = "q1", .cls = "lookup"}}},
+                   .leaves = 1,
+                   .failures = 1,
+                   .passes = 2,
+                   .engine_window = 30});
   plans.push_back({.name = "node-partial",
                    .about = "the platform: a start reaches its engine in parts, and may be rejected before",
                    .clients = {{{.id = "w1", .cls = "load"}, {.id = "q1", .cls = "lookup"}}},
--- a/src/path/engine_connection.cpp
+++ b/src/path/engine_connection.cpp
@@ -78,7 +78,9 @@
 
 void EngineConnection::on_writable() {
   awaiting_writable_ = false;
-  if (!flush()) fail();
+  if (!flush()) return fail();
+  if (state_ == EngineConnectionState::sending && write_buffer_.empty())
+    apply(state_, EngineConnectionEvent::write_completed);
 }
 
 // Checks once more, before the first byte of the statement is written, that the engine still accepts work at
@@ -120,6 +122,7 @@
   attempt_->connection = weak_from_this();
   apply(attempt_->state, AttemptEvent::send_statement);
   apply(state_, EngineConnectionEvent::statement_sent);
+  if (!write_buffer_.empty()) apply(state_, EngineConnectionEvent::write_blocked);
   error_code_.clear();
   return true;
 }
@@ -176,6 +179,11 @@
     apply(state_, EngineConnectionEvent::attempt_dropped);
     return end_attempt(sql::StatementResult::not_written);
   }
+  // The engine never runs a statement that it does not receive completely, so there is nothing to cancel.
+  if (state_ == EngineConnectionState::sending) {
+    end_attempt(sql::StatementResult::cancelled);
+    return close(EngineConnectionEvent::closed_locally);
+  }
   if (!apply(state_, EngineConnectionEvent::cancel_sent)) return;
   session_.cancel_sent();
   shard_.metrics().cancels->Increment();
@@ -247,10 +255,12 @@
   forward_rows();
   // A connection is not reused after a cancel request: the request may reach the engine after the statement
   // is complete and would then cancel the next statement on the connection. The response itself is still
-  // valid.
+  // valid. Nor is it reused if a part of the statement is not written yet: that part would be written later,
+  // and the statement would run although its attempt has ended.
+  const bool written = state_ != EngineConnectionState::sending;
   auto* pool = shard_.pool(engine_);
   const bool usable =
-      session_.reusable() && pool != nullptr && pool->accepts_work && pool->address == address_;
+      written && session_.reusable() && pool != nullptr && pool->accepts_work && pool->address == address_;
   if (!cancelling && usable) {
     apply(state_, EngineConnectionEvent::statement_finished);
     idle_since_ = shard_.now();
@@ -258,6 +268,8 @@
   }
   if (!error_code_.empty())
     end_attempt(sql::StatementResult::statement_error, error_code_);
+  else if (!written)
+    end_attempt(sql::StatementResult::broken);  // no result can belong to a statement that is incomplete
   else
     end_attempt(cancelling ? sql::StatementResult::cancelled : sql::StatementResult::complete);
   if (cancelling || !usable) close(EngineConnectionEvent::finished_unusable);
