The memory limit counts what buffers hold, and buffers release what they do not need

Cause: the limit counted sizes of strings. A read buffer doubles as it grows and was released only when empty, which it never is where the next frame begins in the bytes that end the one before.

Change: one account by kind of buffer, in capacities. A statement counts until its last owner releases it: an attempt once its start is written, a request once it is over. Write buffers of engine connections, which kept the largest start, are released. A complete request comes before incomplete frames. Metric and log line.

--- a/src/calls/paged_result.hpp
+++ b/src/calls/paged_result.hpp
@@ -43,6 +43,7 @@
     rows_.resize(last_page_offset_);
     if (--next_page_ == 0) page_count_ = 0;
   }
+  [[nodiscard]] std::size_t buffered_bytes() const { return rows_.capacity(); }
   // Moves the rows out. The object must not be used afterwards.
   [[nodiscard]] std::string take_rows() { return std::move(rows_); }
 
--- a/src/path/buffer_limit.cpp
+++ b/src/path/buffer_limit.cpp
@@ -1,6 +1,9 @@
 #include "path/buffer_limit.hpp"
 
+#include <fmt/format.h>
+
 #include <optional>
+#include <utility>
 
 namespace heronwell::path {
 
@@ -12,6 +15,19 @@
   }
 }
 
+std::optional<std::string> BufferLimit::take_warning(Time now) {
+  if (unreported_rejections_ == 0 || (last_warning_at_ && now < *last_warning_at_ + kWarningInterval))
+    return std::nullopt;
+  last_warning_at_ = now;
+  auto details =
+      fmt::format(R"("rejected":{},"limit_bytes":{})", std::exchange(unreported_rejections_, 0), max_bytes_);
+  for (std::size_t i = 0; i < kBufferKindCount; ++i) {
+    const auto kind = static_cast<BufferKind>(i);
+    details += fmt::format(R"(,"{}_bytes":{})", name_of(kind), account_->bytes(kind));
+  }
+  return details;
+}
+
 std::shared_ptr<ClientProtocol> BufferLimit::first_to_reject() const {
   std::optional<ClientProtocol::IncompleteFrame> first_frame;
   std::shared_ptr<ClientProtocol> first;
--- a/src/path/client_request.hpp
+++ b/src/path/client_request.hpp
@@ -12,6 +12,7 @@
 #include "base/json.hpp"
 #include "calls/paged_result.hpp"
 #include "fleet/endpoint_registry.hpp"
+#include "path/buffer_account.hpp"
 #include "path/environment.hpp"
 #include "path/grouping.hpp"
 #include "path/state_tables.hpp"
@@ -96,6 +97,7 @@
   std::shared_ptr<sql::Table> table;  // set if the request asks for a table
   std::string sqlstate, error;        // not empty if the statement itself failed
   bool truncated = false;             // cut off because it exceeded max_response_bytes
+  BufferedBytes bytes;                // of a result from the platform's engines
 };
 
 struct ClientRequest;
@@ -120,7 +122,7 @@
   Ticket ticket = 0;                                  // 0 if it was never submitted
   std::shared_ptr<ClientConnection> client;           // null if only the handler gets the response
   std::shared_ptr<ResponseHandler> response_handler;  // with a client: builds the client's response
-  std::shared_ptr<const sql::Statement> statement;
+  std::shared_ptr<const sql::Statement> statement;    // null once no attempt of it starts any more
   std::size_t max_response_bytes = 0;  // limit for rows as a table; 0: rows are returned as JSON
   std::size_t call_index = 0, statement_number = 0;  // assigned by the handler
   ClassIndex class_index = 0;
@@ -154,7 +156,7 @@
   Time start_before = Time::max();  // end of the engines' deduplication window; no start after it
   bool on_new_connection = false;   // the connection was opened for this attempt
   ClientRequestPtr request;
-  std::shared_ptr<const sql::Statement> statement;
+  std::shared_ptr<const sql::Statement> statement;  // null once a query call has copied it
   std::vector<std::pair<std::string, std::string>> settings;
   AttemptState state = AttemptState::created;
   router::JsonRows rows;
--- a/src/path/engine_connection.cpp
+++ b/src/path/engine_connection.cpp
@@ -10,7 +10,7 @@
 
 // Capacity of the read buffer that a connection keeps while the buffer is empty. A message of typical size
 // fits into it, and thousands of idle connections need little memory.
-constexpr std::size_t kMaxIdleBufferBytes = 8 << 10;
+constexpr std::size_t kMaxIdleReadBytes = 8 << 10;
 
 // SQLSTATE program_limit_exceeded: the response is larger than `max_response_bytes` of its request.
 constexpr std::string_view kResponseTooLarge = "54000";
@@ -64,7 +64,7 @@
   if (state_ == EngineConnectionState::closed || reading_paused_) return;
   const auto used = session_.feed(read_buffer_, *this, reading_paused_);
   read_buffer_.erase(0, used);
-  if (read_buffer_.empty() && read_buffer_.capacity() > kMaxIdleBufferBytes) read_buffer_.shrink_to_fit();
+  if (read_buffer_.empty() && read_buffer_.capacity() > kMaxIdleReadBytes) read_buffer_.shrink_to_fit();
   forward_rows();
   if (state_ == EngineConnectionState::starting_up && session_.state() == sql::SessionState::idle)
     on_startup_complete();
--- a/src/path/frame_client_connection.cpp
+++ b/src/path/frame_client_connection.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "path/buffered_statement.hpp"
 #include "sql/group.hpp"
 
 namespace heronwell::path {
@@ -19,9 +20,6 @@
 // These are frames that the client sent before it received the go-away frame or the error. A client that sends
 // more ignores the close, and its connection is reset.
 constexpr std::size_t kMaxDiscardedBytes = 256 << 10;
-// Capacity that an idle connection keeps in each buffer, and size up to which an incomplete frame is kept
-// although the limit on buffered bytes is exceeded. A request of typical size fits into it.
-constexpr std::size_t kMaxIdleBufferBytes = 4 << 10;
 // After its last response is written, a connection stays open for this long, so that the client can read the
 // response and close.
 constexpr Time kLingerDuration = 250ms;
@@ -32,7 +30,11 @@
 }  // namespace
 
 FrameClientConnection::FrameClientConnection(Shard& shard, std::uint64_t number, StreamPtr stream)
-    : shard_(shard), number_(number), stream_(std::move(stream)) {
+    : shard_(shard),
+      number_(number),
+      stream_(std::move(stream)),
+      input_bytes_(shard.buffer_account(), BufferKind::client_input),
+      output_bytes_(shard.buffer_account(), BufferKind::client_output) {
   shard_.metrics().connections->Increment();
   shard_.metrics().clients->Increment();
   connected_at_ = last_active_at_ = last_write_at_ = shard_.now();
@@ -60,10 +62,10 @@
     read_buffer_.erase(0, used);
     if (used > 0) frame_started_at_ = last_active_at_;
   }
+  if (state_ != ClientConnectionState::reading) std::string().swap(read_buffer_);
+  release_unused(read_buffer_);
   account_buffered();
   shard_.enforce_buffer_limit();
-  if (state_ != ClientConnectionState::reading) std::string().swap(read_buffer_);
-  if (read_buffer_.empty() && read_buffer_.capacity() > kMaxIdleBufferBytes) std::string().swap(read_buffer_);
   write_buffered();
 }
 
@@ -85,7 +87,7 @@
 }
 
 std::optional<ClientProtocol::IncompleteFrame> FrameClientConnection::incomplete_frame() const {
-  if (state_ != ClientConnectionState::reading || read_buffer_.size() <= kMaxIdleBufferBytes)
+  if (state_ != ClientConnectionState::reading || parsing_ || read_buffer_.size() <= kMaxIdleBufferBytes)
     return std::nullopt;
   return IncompleteFrame{!open_requests_.empty(), frame_started_at_};
 }
@@ -114,6 +116,7 @@
 }
 
 std::size_t FrameClientConnection::parse(std::string_view in) {
+  parsing_ = true;
   std::size_t used = 0;
   while (state_ == ClientConnectionState::reading) {
     const auto decoded = frames::decode(in.substr(used));
@@ -126,6 +129,7 @@
     complete_frame_received_ = complete_frame_received_ || decoded.frame.type != frames::FrameType::cancel;
     dispatch(decoded.frame);
   }
+  parsing_ = false;
   return used;
 }
 
@@ -143,7 +147,7 @@
     return;
   }
   const auto client_request = found->second;
-  forget(found);
+  open_requests_.erase(found);
   client_request->response_handler = nullptr;
   if (client_request->ticket != 0) shard_.disconnect(client_request);
 }
@@ -196,10 +200,9 @@
   client_request->call_index = frame.stream;
   client_request->client_request_id = std::move(id);
   client_request->idempotency_key = parsed.idempotency_key;
-  client_request->statement = std::make_shared<const sql::Statement>(sql::Statement{std::string(statement)});
+  client_request->statement = buffered_statement(shard_.buffer_account(), statement);
   client_request->received_at = shard_.input_waiting_since();
   open_requests_.emplace(frame.stream, client_request);
-  statement_bytes_ += statement.size();
   router::RequestSpec spec;
   spec.request.class_index = static_cast<ClassIndex>(cls - settings.classes.begin());
   spec.request.tenant = static_cast<std::uint32_t>(tenant - settings.tenants.begin());
@@ -268,21 +271,16 @@
   const auto stream = static_cast<std::uint32_t>(client_request->call_index);
   const auto found = open_requests_.find(stream);
   if (closed() || found == open_requests_.end() || found->second != client_request) return;
-  forget(found);
+  open_requests_.erase(found);
   last_active_at_ = shard_.now();
   frames::put_response(write_buffer_, stream, code, fields, body);
   write_buffered();
   finish_graceful_close();
 }
 
-void FrameClientConnection::forget(std::map<std::uint32_t, ClientRequestPtr>::iterator position) {
-  statement_bytes_ -= position->second->statement->text.size();
-  open_requests_.erase(position);
-}
-
 void FrameClientConnection::account_buffered() {
-  const auto buffered_bytes = closed() ? 0 : read_buffer_.size() + write_buffer_.size() + statement_bytes_;
-  shard_.account_buffered(std::exchange(accounted_bytes_, buffered_bytes), buffered_bytes);
+  input_bytes_.set(closed() ? 0 : read_buffer_.capacity());
+  output_bytes_.set(closed() ? 0 : write_buffer_.capacity());
 }
 
 void FrameClientConnection::write_buffered() {
@@ -305,8 +303,8 @@
     }
     last_write_at_ = shard_.now();
     write_buffer_.erase(0, *wrote);
+    release_unused(write_buffer_);
   }
-  if (write_buffer_.capacity() > kMaxIdleBufferBytes) std::string().swap(write_buffer_);
   if (state_ != ClientConnectionState::flushing) return;
   apply(state_, ClientConnectionEvent::flushed);
   last_active_at_ = shard_.now();
@@ -326,7 +324,6 @@
 
 void FrameClientConnection::drop_open_requests() {
   const auto open = std::exchange(open_requests_, {});
-  statement_bytes_ = 0;
   for (const auto& [stream, client_request] : open) {
     client_request->response_handler = nullptr;
     if (client_request->ticket != 0) shard_.disconnect(client_request);
--- a/src/path/frame_client_connection.hpp
+++ b/src/path/frame_client_connection.hpp
@@ -78,10 +78,9 @@
   void respond(const ClientRequestPtr& client_request, frames::ResponseCode code,
                const std::vector<frames::Field>& fields, std::string_view body);
   void drop_open_requests();
-  void forget(std::map<std::uint32_t, ClientRequestPtr>::iterator position);
   void write_buffered();
   void write_out();
-  void account_buffered();  // reports the number of buffered bytes to the shard
+  void account_buffered();
   void close(ClientConnectionEvent event, bool reset = false);
 
   Shard& shard_;
@@ -89,8 +88,7 @@
   StreamPtr stream_;
   std::string read_buffer_, write_buffer_;                   // input not parsed yet; output not written yet
   std::map<std::uint32_t, ClientRequestPtr> open_requests_;  // by stream
-  std::size_t statement_bytes_ = 0,
-              accounted_bytes_ = 0;  // statements of open requests; total last reported to the shard
+  BufferedBytes input_bytes_, output_bytes_;                 // of the two buffers
   std::uint32_t last_stream_ = 0;
   unsigned rejected_requests_ = 0;             // limited by kMaxRejectedRequests
   std::size_t discarded_bytes_ = 0;            // input received since nothing is owed any more
@@ -100,6 +98,7 @@
   Time frame_started_at_{};  // arrival of the first bytes of the incomplete frame
   ClientConnectionState state_ = ClientConnectionState::reading;
   bool awaiting_writable_ = false;
+  bool parsing_ = false;  // parse() refers to the read buffer
 };
 
 }  // namespace heronwell::path
--- a/src/path/metrics.cpp
+++ b/src/path/metrics.cpp
@@ -37,6 +37,12 @@
                        &queue.Add({{"class", name}}), &running.Add({{"class", name}}),
                        &budget.Add({{"class", name}})});
   }
+  auto& buffers = BuildGauge()
+                      .Name("heronwell_buffered_bytes")
+                      .Help("Memory of buffers on the platform, by kind")
+                      .Register(registry_);
+  for (std::size_t kind = 0; kind < kBufferKindCount; ++kind)
+    buffered_bytes_.push_back(&buffers.Add({{"kind", std::string(name_of(static_cast<BufferKind>(kind)))}}));
   auto& attempts_by_result =
       BuildCounter().Name("heronwell_attempts_total").Help("Attempts by result").Register(registry_);
   for (const auto* result :
@@ -87,6 +93,11 @@
       gauge("heronwell_decision_lag_seconds", "Longest wait of an event for the decision strand of late");
 }
 
+void Metrics::set_buffered_bytes(const BufferAccount& account) {
+  for (std::size_t kind = 0; kind < kBufferKindCount; ++kind)
+    buffered_bytes_[kind]->Set(static_cast<double>(account.bytes(static_cast<BufferKind>(kind))));
+}
+
 void Metrics::begin_group_scan() { group_totals_.clear(); }
 
 void Metrics::add_group(const groups::GroupView& group) {
--- a/src/path/metrics.hpp
+++ b/src/path/metrics.hpp
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "groups/shares.hpp"
+#include "path/buffer_account.hpp"
 
 namespace heronwell::path {
 
@@ -37,6 +38,8 @@
   prometheus::Gauge *graphql_open, *open_requests, *pool_threads, *clients, *engine_connections,
       *engines_ready, *decision_lag;
 
+  void set_buffered_bytes(const BufferAccount& account);
+
   // Metrics of the configured groups. Groups created on demand are summed under the "*" of their parent.
   static constexpr std::size_t kMaxGroups = 200;  // groups beyond this number are omitted
   // A scan of the groups: begin_group_scan(), add_group() for each group, then finish_group_scan(), which
@@ -61,6 +64,7 @@
     std::map<std::string, prometheus::Counter*> rejected;
   };
   prometheus::Registry registry_;
+  std::vector<prometheus::Gauge*> buffered_bytes_;   // by BufferKind
   std::map<std::string, GroupTotals> group_totals_;  // of the current scan
   std::map<std::string, GroupSeries> group_series_;
   mutable std::mutex mutex_;
--- a/src/path/protocols.hpp
+++ b/src/path/protocols.hpp
@@ -41,7 +41,7 @@
     Time since{};                // arrival of the first bytes of the frame
     auto operator<=>(const IncompleteFrame&) const = default;
   };
-  // Returns nullopt if the connection holds no incomplete frame of notable size.
+  // Returns nullopt if the connection holds no incomplete frame of notable size, or parses its input.
   [[nodiscard]] virtual std::optional<IncompleteFrame> incomplete_frame() const { return std::nullopt; }
   // Releases the memory of the incomplete frame. The client gets a rejection for it, and the connection stays
   // open. Must be called only if there is an incomplete_frame().
--- a/src/path/query_call_connection.cpp
+++ b/src/path/query_call_connection.cpp
@@ -50,7 +50,9 @@
       engine_(pool.id),
       number_(number),
       address_(pool.address),
-      parser_(http::Role::response, limits()) {
+      parser_(http::Role::response, limits()),
+      input_bytes_(shard.buffer_account(), BufferKind::engine_input),
+      output_bytes_(shard.buffer_account(), BufferKind::engine_output) {
   shard_.metrics().engine_connections->Increment();
   shard_.metrics().dials->Increment();
 }
@@ -174,6 +176,7 @@
   start_incomplete_ = starts && attempt_->ticket != 0 && !write_buffer_.empty();
   if (starts) {
     attempt_->first_byte_sent_at = now;
+    attempt_->statement = nullptr;  // it is sent at most once, and a copy of it is in the write buffer
     apply(attempt_->state, AttemptEvent::send_statement);
   }
   attempt_->last_polled_at = now;
@@ -187,7 +190,17 @@
   return idle_since_ + (response_received_ ? kDuplicateResponseWindow : Time::zero());
 }
 
-bool QueryCallConnection::flush() { return path::flush(*stream_, write_buffer_, awaiting_writable_); }
+bool QueryCallConnection::flush() {
+  const bool writable = path::flush(*stream_, write_buffer_, awaiting_writable_);
+  release_unused(write_buffer_);
+  account_buffered();
+  return writable;
+}
+
+void QueryCallConnection::account_buffered() {
+  input_bytes_.set(read_buffer_.capacity() + response_body_.capacity());
+  output_bytes_.set(write_buffer_.capacity());
+}
 
 // Does not complete a partially written start once the attempt may not start any more. An engine does not run
 // an incomplete start. Without this check, the query could run after its client has disconnected or its
@@ -219,6 +232,8 @@
   if (!call_in_flight()) return fail(Failure::broken);
   read_buffer_ += bytes;
   parse();
+  release_unused(read_buffer_);
+  account_buffered();
 }
 
 void QueryCallConnection::parse() {
@@ -320,6 +335,7 @@
 }
 
 void QueryCallConnection::on_page_added() {
+  attempt_->response.bytes.set(attempt_->result.buffered_bytes());
   if (attempt_->result.complete()) {
     attempt_->response.json = attempt_->result.take_rows();
     return finish(calls::attempt_result_of(calls::CallResult::complete));
--- a/src/path/query_call_connection.hpp
+++ b/src/path/query_call_connection.hpp
@@ -73,6 +73,7 @@
   [[nodiscard]] bool call_in_flight() const {
     return state_ == EngineConnectionState::busy || state_ == EngineConnectionState::sending;
   }
+  void account_buffered();
   void set_timeout(Time duration) { timer_->set(shard_.now() + duration); }
 
   Shard& shard_;
@@ -86,6 +87,7 @@
   AttemptPtr attempt_;
   std::string read_buffer_, write_buffer_;  // input not parsed yet; output not written yet
   std::string response_body_;
+  BufferedBytes input_bytes_, output_bytes_;
   unsigned interim_responses_ = 0;  // responses of status 1xx to the current call
   bool awaiting_writable_ = false;
   bool opened_to_start_ = false;    // opened to start an attempt, not to poll
--- a/src/path/shard.cpp
+++ b/src/path/shard.cpp
@@ -28,8 +28,6 @@
 // Number of event loop turns until every readable socket has been read: one turn detects that they are
 // readable and one reads them.
 constexpr unsigned kLoopTurnsToReadInput = 2;
-// The detail of a rejection at the buffer limit.
-constexpr auto* kNoMemoryLeft = "no memory is left for another request";
 
 }  // namespace
 
@@ -123,6 +121,14 @@
   descriptor_freed();
   deletions_.forget_expired(now);
   pools_.erase_removed_engines();
+  report_buffers();
+}
+
+void Shard::report_buffers() {
+  metrics_.set_buffered_bytes(*buffer_account());
+  if (const auto details = buffer_limit_.take_warning(now()))
+    environment_.log(Level::warn, fmt::format(R"({{"event":"buffer_limit_exceeded","router":{},{}}})",
+                                              quoted(config_.name), *details));
 }
 
 Shard::Counts Shard::counts() const {
@@ -153,7 +159,8 @@
   // statements of a GraphQL request that was already admitted, and the platform's frames, which are served
   // while draining.
   if (stopping_ && request->client) return reject_at_limit(request, "this router is stopping");
-  if (buffer_limit_.exceeded()) return reject_at_limit(request, kNoMemoryLeft);
+  buffer_limit_.enforce();  // a complete request comes before incomplete frames
+  if (buffer_limit_.exceeded()) return reject_for_memory(request);
   if (requests_.size() >= std::max<std::size_t>(1, config_.module.max_open_requests / config_.threads))
     return reject_at_limit(request, "allow.max_open requests are open here");
   requests_.add(request);
@@ -164,7 +171,12 @@
 
 void Shard::reject_incomplete(const ClientRequestPtr& request, const router::RequestSpec& spec) {
   set_terms(*request, spec);
-  reject_at_limit(request, kNoMemoryLeft);
+  reject_for_memory(request);
+}
+
+void Shard::reject_for_memory(const ClientRequestPtr& request) {
+  buffer_limit_.count_rejection();
+  reject_at_limit(request, "no memory is left for another request");
 }
 
 void Shard::reject_at_limit(const ClientRequestPtr& request, std::string reason) {
@@ -218,6 +230,7 @@
 void Shard::forget_request(const ClientRequestPtr& request) {
   if (!requests_.erase(request)) return;
   metrics_.open_requests->Decrement();
+  request->statement = nullptr;  // no attempt of it starts any more
   if (request->client_request_id.empty()) return;
   if (const auto waiting = deletions_.take_waiting(request->client_request_id))
     end_attempt(waiting, AttemptResult::never_started);
@@ -233,6 +246,7 @@
   attempt->deadline = command.deadline;
   attempt->start_before = command.start_before;
   attempt->request = request;
+  attempt->response.bytes = BufferedBytes(buffer_account(), BufferKind::engine_input);
   if (!request) return attempt;
   attempt->statement = request->statement;
   const auto& resources = command.resources;
--- a/src/path/shard.hpp
+++ b/src/path/shard.hpp
@@ -13,7 +13,7 @@
 //   query_deletions.hpp    queries that engines still have to delete, and attempts that wait for a deletion
 //   open_requests.hpp      the open requests, by ticket and by the client's request id
 //   stall_detector.hpp     detection of stalls, after which input may have been waiting unread
-//   buffer_limit.hpp       the number of bytes buffered for all clients of the shard
+//   buffer_limit.hpp       the number of bytes buffered for all clients and engines of the shard
 //   response_delivery.hpp  delivery of final responses (stateless)
 // The shard connects these parts. It owns the client connections, and each attempt from its dispatch command
 // until its end.
@@ -147,7 +147,7 @@
   void free_client_descriptor() { descriptors_.free_client_descriptor(); }
   [[nodiscard]] bool can_open_deletion() const { return deletions_.can_open_connection(); }
   // See BufferLimit.
-  void account_buffered(std::size_t before, std::size_t now) { buffer_limit_.account(before, now); }
+  [[nodiscard]] const BufferAccountPtr& buffer_account() const { return buffer_limit_.account(); }
   void enforce_buffer_limit() { buffer_limit_.enforce(); }
   // The earliest time at which the input that is read now may have arrived: see StallDetector. Deadlines are
   // measured from this time.
@@ -189,6 +189,7 @@
   void set_terms(ClientRequest& request, const router::RequestSpec& spec);
   [[nodiscard]] bool choose_group(const ClientRequestPtr& request, router::RequestSpec& spec);
   void reject_at_limit(const ClientRequestPtr& request, std::string reason);
+  void reject_for_memory(const ClientRequestPtr& request);
   [[nodiscard]] AttemptPtr make_attempt(const router::DispatchAttempt& command,
                                         const ClientRequestPtr& request) const;
   void launch(const AttemptPtr& attempt);
@@ -198,6 +199,7 @@
   void finish_attempt(const AttemptPtr& attempt, AttemptResult result);
   void tick();
   void sweep();
+  void report_buffers();  // updates metrics, and logs rejections at the buffer limit
 
   ShardEnvironment& environment_;
   const Config& config_;
--- /dev/null
+++ b/tests/path/heap_counter.hpp
@@ -0,0 +1,10 @@
+// Counts the bytes that the test program has allocated with `new` and not freed.
+#pragma once
+
+#include <cstddef>
+
+namespace heronwell::path {
+
+[[nodiscard]] std::size_t heap_bytes();
+
+}  // namespace heronwell::path
--- a/tests/path/shard_fixture.hpp
+++ b/tests/path/shard_fixture.hpp
@@ -128,7 +128,7 @@
   }
   void defer(std::function<void()> then) override { deferred_.push_back(std::move(then)); }
   void publish(TimedEvent event) override { published_events_.push_back(std::move(event)); }
-  void log(Level, std::string) override {}
+  void log(Level, std::string line) override { logged_.push_back(std::move(line)); }
 
   void run_deferred() {
     while (!deferred_.empty()) {
@@ -191,6 +191,7 @@
   std::vector<ManualTimer*> timers_;
   std::vector<FakeStreamPtr> dialled_;
   std::vector<TimedEvent> published_events_;
+  std::vector<std::string> logged_;
   Shard shard_;
 };
 
