Review 2: the sources of the cases build without an include path

Cause: review/build.sh of the earlier review compiles every source in a numbered folder and stops at one that it can't, which left its cases 2 and 3 unbuilt. Change: the sources name the shared header relatively, in a namespace of its own; no file of the earlier review changes. Result: review/build.sh and review/build-2.sh both build all their programs.

--- a/review/6/case_6.cpp
+++ b/review/6/case_6.cpp
@@ -3,9 +3,9 @@
 // Six sound SQL engines answer two classes of requests with results of one to three pages. Each writes a page in
 // two pieces that end with a row each, the second 5 ms after the first. The disruption: in one of twenty answers
 // the length in the head is that of the first piece. A usual client counts the rows of what it is served.
-#include "world.hpp"
+#include "../stand_in_2/world.hpp"
 
-using namespace review;
+using namespace review2;
 
 namespace {
 
--- a/review/7/case_7.cpp
+++ b/review/7/case_7.cpp
@@ -7,9 +7,9 @@
 // counted.
 #include <cmath>
 
-#include "world.hpp"
+#include "../stand_in_2/world.hpp"
 
-using namespace review;
+using namespace review2;
 
 namespace {
 
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,6 +6,6 @@
 mkdir -p build-bench/review-2
 for source in review/*/case_*.cpp; do
   name=$(basename "$source" .cpp)
-  "${CXX:-c++}" -std=c++20 -O2 -Wall -Wextra -I review/stand_in_2 "$source" -o "build-bench/review-2/$name"
+  "${CXX:-c++}" -std=c++20 -O2 -Wall -Wextra "$source" -o "build-bench/review-2/$name"
   echo "built build-bench/review-2/$name"
 done
--- a/review/stand_in_2/world.hpp
+++ b/review/stand_in_2/world.hpp
@@ -34,7 +34,7 @@
 #include <utility>
 #include <vector>
 
-namespace review {
+namespace review2 {
 
 // Exit codes of a case.
 constexpr int kHeld = 0, kBroken = 1, kCouldNotRun = 2;
@@ -800,4 +800,4 @@
   }
 };
 
-}  // namespace review
+}  // namespace review2
