Tests: the heap counter moves to tests/support, where other suites can use it

Cause: the tests of the decision logic are to measure the heap as well. Change: a move and a new namespace, nothing else.

--- a/tests/path/platform_memory_test.cpp
+++ b/tests/path/platform_memory_test.cpp
@@ -2,7 +2,7 @@
 // shard's own account of its buffers.
 #include <random>
 
-#include "heap_counter.hpp"
+#include "../support/heap_counter.hpp"
 #include "platform_fixture.hpp"
 
 namespace heronwell::path {
@@ -33,7 +33,7 @@
   for (std::size_t i = 0; i < kClients; ++i) clients.push_back(connect_client());
   std::vector<std::string> input(kClients);
   std::vector<unsigned> sent(kClients, 0);
-  const auto before = heap_bytes();
+  const auto before = test::heap_bytes();
   std::size_t most = 0, tested = 0;
   while (std::ranges::any_of(sent, [](unsigned n) { return n < kRequests; })) {
     std::size_t own = 0;
@@ -52,7 +52,7 @@
     }
     published_events_.clear();
     published_events_.shrink_to_fit();
-    most = std::max(most, heap_bytes() - before - own);
+    most = std::max(most, test::heap_bytes() - before - own);
     ++tested;
     advance_to(now_ + 5ms);
   }
@@ -66,7 +66,7 @@
 TEST_F(PlatformMemory, IsReleasedAfterLargeStartsAndWhileTheirQueriesAreDeleted) {
   constexpr unsigned kQueries = 12;
   const auto client = connect_client();
-  const auto before = heap_bytes();
+  const auto before = test::heap_bytes();
   for (unsigned n = 1; n <= kQueries; ++n) {
     client->deliver(encode_large_request(n, request_id(n), 200'000));
     dispatch_attempt(received_tickets().back(), 0, n % 2 == 0 ? 7 : 8);
@@ -74,11 +74,11 @@
   }
   forget_written();
   // Each statement is kept once, for a retry.
-  EXPECT_LT(heap_bytes() - before, kQueries * 200'000 + kSlackBytes);
+  EXPECT_LT(test::heap_bytes() - before, kQueries * 200'000 + kSlackBytes);
   for (unsigned n = 1; n <= kQueries; ++n) client->deliver(encode_frame(8, n, ""));
   for (const auto ticket : received_tickets()) execute(router::Command(router::StopAttempt{ticket, 0}));
   ASSERT_GT(dialled_.size(), kQueries) << "expected connections that delete the queries";
-  EXPECT_LT(heap_bytes() - before, kSlackBytes) << "expected no statement to be kept for a deletion";
+  EXPECT_LT(test::heap_bytes() - before, kSlackBytes) << "expected no statement to be kept for a deletion";
 }
 
 TEST_F(PlatformMemory, RejectionsAtTheLimitAreLoggedOnceAMinute) {
--- a/tests/path/heap_counter.cpp
+++ b/tests/support/heap_counter.cpp
@@ -30,8 +30,8 @@
 void operator delete(void* block, std::size_t) noexcept { release(block); }
 void operator delete[](void* block, std::size_t) noexcept { release(block); }
 
-namespace heronwell::path {
+namespace heronwell::test {
 
 std::size_t heap_bytes() { return allocated_bytes; }
 
-}  // namespace heronwell::path
+}  // namespace heronwell::test
--- a/tests/path/heap_counter.hpp
+++ b/tests/support/heap_counter.hpp
@@ -3,8 +3,8 @@
 
 #include <cstddef>
 
-namespace heronwell::path {
+namespace heronwell::test {
 
 [[nodiscard]] std::size_t heap_bytes();
 
-}  // namespace heronwell::path
+}  // namespace heronwell::test
