The choices of preferred engines by data group keep within 4 MiB

Cause: EngineSelector::preferred_engines kept a list for each data group until the fleet changed, with the capacity for all ready engines, as resize() keeps it. Nothing limited the number of lists.

Evidence: a copy of the old code printed capacity and size of all lists beside the allocator's figures: from 100 to 1,900 groups capacity grew by 57,600 KiB, bytes in use by 57,837 KiB; free in the heap under 1 MiB. So not requests, statistics, buffers or fragmentation. Releasing the capacity alone leaves 5 KiB a group, 32 MB for the 6,400 groups of the case, and no limit.

Change: PreferredEngines chooses in a buffer of its own and keeps the choices used last, within 4 MiB with their overhead. A dropped choice is made again alike, so decisions do not change. An empty choice is not kept, as before: ejected engines come back without a change of the fleet.

--- a/src/decision/engine_selector.cpp
+++ b/src/decision/engine_selector.cpp
@@ -1,7 +1,6 @@
 #include "engine_selector.hpp"
 
 #include <algorithm>
-#include <iterator>
 #include <ranges>
 
 namespace heronwell {
@@ -38,11 +37,6 @@
 // why that attempt failed.
 constexpr double kSameEngineThreadsPerCore = 3.0;
 
-// Number of engines that hold the data of one group: at least two, so that one may fail, and one in five of a
-// large fleet.
-constexpr std::size_t kMinPreferredEngines = 2;
-constexpr std::size_t kFleetPerPreferredEngine = 5;
-
 // Bonus, in threads per core, for a group's preferred engines, which have its data in their caches.
 constexpr double kCachedDataThreadsPerCore = 0.3;
 
@@ -54,15 +48,6 @@
 // engines share the load; the second is added in proportion to the unreliability of the reports.
 constexpr double kMinScoreNoise = 0.01;
 constexpr double kUnreliableScoreNoise = 4.0;
-
-// Order of the engines for a data group. It depends on ids only, so it is the same at every router (finalizer
-// of splitmix64).
-std::uint64_t preference_hash(std::int64_t data_group, EngineId id) {
-  std::uint64_t x = (static_cast<std::uint64_t>(data_group) << 32) + id + 0x9e3779b97f4a7c15ULL;
-  x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
-  x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
-  return x ^ (x >> 31);
-}
 }  // namespace
 
 EngineSelector::EngineSelector(const Settings& settings, const Clock& clock, const ClassRanking& ranking,
@@ -73,7 +58,8 @@
       random_(random),
       parts_(parts),
       some_class_waits_for_loads_(
-          std::ranges::any_of(settings.classes, &ClassSettings::waits_for_data_group)) {}
+          std::ranges::any_of(settings.classes, &ClassSettings::waits_for_data_group)),
+      preferred_(parts.engines) {}
 
 Engine* EngineSelector::select(Request& request) {
   const auto& engines = candidates(request);
@@ -108,7 +94,7 @@
 const std::vector<Engine*>& EngineSelector::candidates(const Request& request) {
   const auto data_group = request.arrival.data_group;
   if (some_class_waits_for_loads_ && parts_.requests.settings_of(request).holds_data_group)
-    return preferred_engines(data_group);
+    return preferred_.of(data_group);
   const auto& ready = parts_.engines.ready();
   if (ready.size() <= kMaxComparedEngines) return ready;
   compared_.clear();
@@ -116,7 +102,7 @@
   for (auto* engine : parts_.slow_start.admitting_engines()) add_candidate(engine);
   for (std::size_t i = 0; i < kRandomCandidates; ++i) add_candidate(ready[random_.below(ready.size())]);
   if (!some_class_waits_for_loads_) {
-    const auto& preferred = preferred_engines(data_group);
+    const auto& preferred = preferred_.of(data_group);
     if (!preferred.empty()) add_candidate(preferred[random_.below(preferred.size())]);
   }
   for (const auto& report : parts_.load.recent_reports()) {
@@ -125,26 +111,6 @@
   return compared_;
 }
 
-// All routers order the engines of a group alike. The loads of the group run on the first of them, so queries
-// find its data there.
-const std::vector<Engine*>& EngineSelector::preferred_engines(std::int64_t data_group) {
-  auto& preferred = preferred_[data_group];
-  if (!preferred.empty()) return preferred;
-  const auto& ready = parts_.engines.ready();
-  std::ranges::copy_if(ready, std::back_inserter(preferred),
-                       [](const Engine* engine) { return !engine->is_ejected(); });
-  const auto count =
-      std::min(preferred.size(), std::max(kMinPreferredEngines, ready.size() / kFleetPerPreferredEngine));
-  const auto hash = [data_group](const Engine* engine) { return preference_hash(data_group, engine->id()); };
-  std::ranges::partial_sort(preferred, preferred.begin() + static_cast<std::ptrdiff_t>(count), {}, hash);
-  preferred.resize(count);
-  return preferred;
-}
-
-bool EngineSelector::is_preferred(std::int64_t data_group, const Engine& engine) {
-  return std::ranges::count(preferred_engines(data_group), &engine) > 0;
-}
-
 bool EngineSelector::has_capacity(const Engine& engine, ClassIndex cls) const {
   if (parts_.slow_start.is_warming_up(engine)) return true;  // slow start admits less than the capacity
   const unsigned threads = settings_.classes[cls].threads;
@@ -177,8 +143,10 @@
   double score =
       (total_load + cls.threads) / (parts_.engines.cores(engine) * parts_.slow_start.capacity_ratio(engine));
   if (engine.endpoint->zone != settings_.zone) score += kCrossZoneThreadsPerCore * settings_.cross_zone_cost;
-  if (!some_class_waits_for_loads_ && is_preferred(data_group, engine)) score -= kCachedDataThreadsPerCore;
-  if (cls.waits_for_data_group && is_preferred(data_group, engine)) score += kLoadAvoidanceThreadsPerCore;
+  if (!some_class_waits_for_loads_ && preferred_.contains(data_group, engine))
+    score -= kCachedDataThreadsPerCore;
+  if (cls.waits_for_data_group && preferred_.contains(data_group, engine))
+    score += kLoadAvoidanceThreadsPerCore;
   const auto ran_there = [&](const Attempt& attempt) { return attempt.engine == engine.id(); };
   return std::ranges::any_of(request.attempts, ran_there) ? score + kSameEngineThreadsPerCore : score;
 }
--- a/src/decision/engine_selector.hpp
+++ b/src/decision/engine_selector.hpp
@@ -15,7 +15,6 @@
 #pragma once
 
 #include <cstdint>
-#include <map>
 #include <vector>
 
 #include "class_ranking.hpp"
@@ -26,6 +25,7 @@
 #include "health_checker.hpp"
 #include "load_estimator.hpp"
 #include "outlier_detector.hpp"
+#include "preferred_engines.hpp"
 #include "slow_start.hpp"
 
 namespace heronwell {
@@ -53,8 +53,6 @@
  private:
   const std::vector<Engine*>& candidates(const Request& request);
   void add_candidate(Engine* engine);
-  const std::vector<Engine*>& preferred_engines(std::int64_t data_group);
-  bool is_preferred(std::int64_t data_group, const Engine& engine);
   bool may_take(const Request& request, Engine& engine);
   [[nodiscard]] bool has_capacity(const Engine& engine, ClassIndex cls) const;
   double score(const Request& request, const Engine& engine);
@@ -65,9 +63,9 @@
   RandomSource& random_;
   Parts parts_;
   bool some_class_waits_for_loads_;
-  std::map<std::int64_t, std::vector<Engine*>> preferred_;  // by data group
-  std::vector<Engine*> compared_;                           // candidates for the current request
-  std::uint64_t comparison_ = 0;  // number of the current comparison; prevents duplicate candidates
+  PreferredEngines preferred_;
+  std::vector<Engine*> compared_;  // candidates for the current request
+  std::uint64_t comparison_ = 0;   // number of the current comparison; prevents duplicate candidates
 };
 
 }  // namespace heronwell
--- a/tests/support/heap_counter.cpp
+++ b/tests/support/heap_counter.cpp
@@ -9,10 +9,15 @@
 
 std::size_t allocated_bytes = 0;  // the tests run on one thread
 
-void* allocate(std::size_t size) {
+void* allocate_or_null(std::size_t size) noexcept {
   void* const block = std::malloc(size);
+  if (block != nullptr) allocated_bytes += ::malloc_usable_size(block);
+  return block;
+}
+
+void* allocate(std::size_t size) {
+  void* const block = allocate_or_null(size);
   if (block == nullptr) throw std::bad_alloc();
-  allocated_bytes += ::malloc_usable_size(block);
   return block;
 }
 
@@ -25,10 +30,14 @@
 
 void* operator new(std::size_t size) { return allocate(size); }
 void* operator new[](std::size_t size) { return allocate(size); }
+void* operator new(std::size_t size, const std::nothrow_t&) noexcept { return allocate_or_null(size); }
+void* operator new[](std::size_t size, const std::nothrow_t&) noexcept { return allocate_or_null(size); }
 void operator delete(void* block) noexcept { release(block); }
 void operator delete[](void* block) noexcept { release(block); }
 void operator delete(void* block, std::size_t) noexcept { release(block); }
 void operator delete[](void* block, std::size_t) noexcept { release(block); }
+void operator delete(void* block, const std::nothrow_t&) noexcept { release(block); }
+void operator delete[](void* block, const std::nothrow_t&) noexcept { release(block); }
 
 namespace heronwell::test {
 
