No query starts before the input of its client has been read that had arrived before

Without a stall, starts up to 0.192 s after their client had closed over much unread input.

Cause: an attempt whose client had unread input waited for two turns of the event loop and started, read or not; a turn reads 16 KiB of a connection. In serve nothing was looked at before a start.

Change: UnreadInputWait. It covers late connections, and serve.

--- a/src/daemon/tcp_stream.cpp
+++ b/src/daemon/tcp_stream.cpp
@@ -125,6 +125,12 @@
   return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+std::size_t TcpStream::unread_bytes() {
+  boost::system::error_code error;
+  const auto bytes = socket_.available(error);
+  return error ? 0 : bytes;
+}
+
 void TcpStream::shut_down_writing() {
   boost::system::error_code ignored;
   socket_.shutdown(Socket::shutdown_send, ignored);
--- a/src/daemon/tcp_stream.hpp
+++ b/src/daemon/tcp_stream.hpp
@@ -35,6 +35,7 @@
   void set_reading(bool on) override;
   [[nodiscard]] path::DialFailure dial_failure() const override { return dial_failure_; }
   [[nodiscard]] bool nothing_to_read() override;
+  [[nodiscard]] std::size_t unread_bytes() override;
   void shut_down_writing() override;
   void close(bool reset) override;
 
--- a/src/emulator/network.hpp
+++ b/src/emulator/network.hpp
@@ -71,6 +71,7 @@
   void notify_when_writable() override;
   void set_reading(bool on) override;
   [[nodiscard]] bool nothing_to_read() override { return in_.empty() && !ended_ && !reset_; }
+  [[nodiscard]] std::size_t unread_bytes() override { return in_.size(); }
   void shut_down_writing() override;
   void close(bool reset) override;
 
--- a/src/explore/model_parts.hpp
+++ b/src/explore/model_parts.hpp
@@ -68,6 +68,10 @@
     sim->footprint_.wire(id);
     return !(seen && (end || reset || !to_router.empty()));
   }
+  std::size_t unread_bytes() override {
+    sim->footprint_.wire(id);
+    return seen ? to_router.size() : 0;
+  }
   [[nodiscard]] path::DialFailure dial_failure() const override {
     return refused ? path::DialFailure::refused : path::DialFailure::unknown;
   }
--- a/src/path/client_connection.cpp
+++ b/src/path/client_connection.cpp
@@ -44,6 +44,7 @@
 bool ClientConnection::pipeline_full() const { return requests_.size() >= shard_.config().listen.pipeline; }
 
 void ClientConnection::on_data(std::string_view bytes) {
+  read_bytes_ += bytes.size();
   if (state_ != ClientConnectionState::reading)
     return;  // input is discarded; reading continues only to detect that the client disconnects
   if (read_buffer_.empty()) {
@@ -150,6 +151,7 @@
 void ClientConnection::dispatch() {
   auto client_request = std::make_shared<ClientRequest>();
   client_request->client = shared_from_this();
+  client_request->connection = weak_from_this();
   client_request->received_at = shard_.input_waiting_since();
   client_request->keep_alive = parser_.keep_alive() && !shard_.stopping();
   client_request->head_only = parser_.method() == "HEAD";
@@ -376,6 +378,12 @@
     close(ClientConnectionEvent::closed_locally);
 }
 
+// While the pipeline is full, nothing is read, so nothing can be waited for.
+std::optional<UnreadInput> ClientConnection::unread_input() const {
+  if (closed() || pipeline_full() || stream_->nothing_to_read()) return std::nullopt;
+  return UnreadInput{read_bytes_, stream_->unread_bytes()};
+}
+
 void ClientConnection::close(ClientConnectionEvent event, bool reset) {
   if (closed()) return;
   const auto self = shared_from_this();
--- a/src/path/client_connection.hpp
+++ b/src/path/client_connection.hpp
@@ -46,6 +46,7 @@
   // requests of the connection are cancelled.
   void abort_response();
   void abort() override;
+  [[nodiscard]] std::optional<UnreadInput> unread_input() const override;
 
   // Returns the number of bytes that are buffered for this response or must be written before it.
   [[nodiscard]] std::size_t backlog(const ClientRequestPtr& client_request) const;
@@ -89,6 +90,7 @@
   // Bytes left to write in all buffers; bytes already written of the first buffer.
   std::size_t unwritten_bytes_ = 0, front_written_bytes_ = 0;
   std::vector<std::function<void()>> drained_callbacks_;
+  std::uint64_t read_bytes_ = 0;  // of all input
   Time head_started_at_{}, last_active_at_{}, last_write_at_{};
   ClientConnectionState state_ = ClientConnectionState::reading;
   bool awaiting_writable_ = false, reading_paused_ = false;  // paused: the pipeline is full
--- a/src/path/client_request.hpp
+++ b/src/path/client_request.hpp
@@ -16,6 +16,7 @@
 #include "path/environment.hpp"
 #include "path/grouping.hpp"
 #include "path/state_tables.hpp"
+#include "path/unread_input.hpp"
 #include "router/json_rows.hpp"
 #include "router/query_parser.hpp"
 #include "router/request_registry.hpp"
@@ -89,6 +90,7 @@
 }
 
 class ClientConnection;
+class ClientProtocol;
 class EngineProtocol;
 
 // The response of one attempt: JSON, a table, or an error reported by the engine.
@@ -113,14 +115,13 @@
                          AttemptResponse response) = 0;  // also called if the statement itself failed
   virtual void on_failed(const ClientRequestPtr& client_request, const router::Problem& problem) = 0;
   virtual void on_client_disconnected() = 0;
-  // Returns true if input from the client is unread. It may be a disconnect or a cancellation.
-  [[nodiscard]] virtual bool has_unread_input() { return false; }
 };
 
 // A client's request, from the arrival of its last byte until the last byte of its response is sent.
 struct ClientRequest {
   Ticket ticket = 0;                                  // 0 if it was never submitted
   std::shared_ptr<ClientConnection> client;           // null if only the handler gets the response
+  std::weak_ptr<ClientProtocol> connection;           // on which the request arrived
   std::shared_ptr<ResponseHandler> response_handler;  // with a client: builds the client's response
   std::shared_ptr<const sql::Statement> statement;    // null once no attempt of it starts any more
   std::size_t max_response_bytes = 0;  // limit for rows as a table; 0: rows are returned as JSON
@@ -168,14 +169,14 @@
   TimerPtr timeout_timer;  // set for health checks only
 
   // Progress of a query call. On the platform a query may outlive its connection.
-  config::Address address;            // the address the query was sent to
-  double memory_limit_mb = 0;         // memory grant; 0: the engine's default
-  calls::PagedResult result;          // pages received so far
-  unsigned reconnects = 0;            // connections opened after a loss
-  Time last_polled_at{};              // time of the last poll
-  bool client_input_checked = false;  // the client's unread input has been read
-  unsigned pending_connections = 0;   // connections being opened for the start
-  Time connect_deadline{};            // time limit for opening a connection
+  config::Address address;           // the address the query was sent to
+  double memory_limit_mb = 0;        // memory grant; 0: the engine's default
+  calls::PagedResult result;         // pages received so far
+  unsigned reconnects = 0;           // connections opened after a loss
+  Time last_polled_at{};             // time of the last poll
+  UnreadInputWait input_wait;        // for unread input of the client, before the start
+  unsigned pending_connections = 0;  // connections being opened for the start
+  Time connect_deadline{};           // time limit for opening a connection
 
   // True if the response of this attempt will be discarded.
   [[nodiscard]] bool response_unwanted() const {
--- a/src/path/engine_connection.cpp
+++ b/src/path/engine_connection.cpp
@@ -93,12 +93,12 @@
   auto attempt = std::exchange(attempt_, nullptr);
   auto* pool = shard_.pool(engine_);
   const bool usable = pool != nullptr && pool->accepts_work && pool->address == address_;
-  if (attempt && (attempt->response_unwanted() || !usable || attempt->deadline <= shard_.now())) {
+  if (attempt && (attempt->response_unwanted() || !usable || !shard_.may_start(*attempt))) {
     shard_.end_attempt(attempt, sql::StatementResult::not_written);
     attempt = nullptr;
   }
   if (!usable) return close_unused();
-  if (attempt) {
+  if (attempt && !shard_.defer_until_input_read(attempt)) {
     if (!start(attempt)) shard_.end_attempt(attempt, sql::StatementResult::not_connected);
     return;
   }
--- a/src/path/frame_client_connection.cpp
+++ b/src/path/frame_client_connection.cpp
@@ -48,6 +48,7 @@
 }
 
 void FrameClientConnection::on_data(std::string_view bytes) {
+  read_bytes_ += bytes.size();
   if (state_ != ClientConnectionState::reading) return discard(bytes.size());
   last_active_at_ = shard_.now();
   bytes.remove_prefix(skip_rejected_frame(bytes.size()));
@@ -197,6 +198,7 @@
   if (shard_.may_have_run(id)) return reject_request("i: expected an id that can't have run", failed);
   auto client_request = std::make_shared<ClientRequest>();
   client_request->response_handler = shared_from_this();
+  client_request->connection = weak_from_this();
   client_request->call_index = frame.stream;
   client_request->client_request_id = std::move(id);
   client_request->idempotency_key = parsed.idempotency_key;
@@ -371,6 +373,11 @@
                    last_active_at_, state_ != ClientConnectionState::reading};
 }
 
+std::optional<UnreadInput> FrameClientConnection::unread_input() const {
+  if (closed() || stream_->nothing_to_read()) return std::nullopt;
+  return UnreadInput{read_bytes_, stream_->unread_bytes()};
+}
+
 void FrameClientConnection::close(ClientConnectionEvent event, bool reset) {
   if (closed()) return;
   const auto self = shared_from_this();
--- a/src/path/frame_client_connection.hpp
+++ b/src/path/frame_client_connection.hpp
@@ -40,6 +40,7 @@
   [[nodiscard]] std::optional<IncompleteFrame> incomplete_frame() const override;
   void reject_incomplete_frame() override;
   void abort() override;
+  [[nodiscard]] std::optional<UnreadInput> unread_input() const override;
 
   void on_data(std::string_view bytes) override;
   void on_writable() override;
@@ -48,7 +49,6 @@
   void on_served(const ClientRequestPtr& client_request, AttemptResponse response) override;
   void on_failed(const ClientRequestPtr& client_request, const router::Problem& problem) override;
   void on_client_disconnected() override {}
-  [[nodiscard]] bool has_unread_input() override { return !closed() && !stream_->nothing_to_read(); }
 
  private:
   struct OpenedRequest {
@@ -89,6 +89,7 @@
   std::string read_buffer_, write_buffer_;                   // input not parsed yet; output not written yet
   std::map<std::uint32_t, ClientRequestPtr> open_requests_;  // by stream
   BufferedBytes input_bytes_, output_bytes_;                 // of the two buffers
+  std::uint64_t read_bytes_ = 0;                             // of all input
   std::uint32_t last_stream_ = 0;
   unsigned rejected_requests_ = 0;             // limited by kMaxRejectedRequests
   std::size_t discarded_bytes_ = 0;            // input received since nothing is owed any more
--- a/src/path/graphql.cpp
+++ b/src/path/graphql.cpp
@@ -289,6 +289,7 @@
   auto client_request = std::make_shared<ClientRequest>();
   const auto number = statement_count_++;
   client_request->response_handler = shared_from_this();
+  client_request->connection = client_->connection;
   client_request->call_index = call.id << 16 | operation;
   client_request->statement_number = number;
   client_request->received_at = shard_.now();
--- a/src/path/protocols.hpp
+++ b/src/path/protocols.hpp
@@ -20,6 +20,9 @@
   virtual void close_expired(Time now) = 0;  // closes it if one of its timeouts has expired
   virtual void begin_shutdown() = 0;         // the router is shutting down: closes it gracefully
   virtual void abort() = 0;                  // closes it at once, at the end of the process
+  // The unread input of the client, which may contain a cancellation or be followed by the end of the
+  // connection. Returns nullopt if nothing is unread, or if nothing is read at present.
+  [[nodiscard]] virtual std::optional<UnreadInput> unread_input() const = 0;
   // Orders idle connections for eviction when descriptors run out; the smallest value is evicted first. A
   // connection that was just established is evicted last, because its first request may be in transit.
   struct IdleState {
--- a/src/path/shard.cpp
+++ b/src/path/shard.cpp
@@ -25,9 +25,6 @@
 // Number of ticks between two sweeps that close expired connections. A connection may outlive its timeout by
 // one sweep interval of 250 ms, which is short compared to these timeouts of several seconds.
 constexpr unsigned kTicksPerSweep = 5;
-// Number of event loop turns until every readable socket has been read: one turn detects that they are
-// readable and one reads them.
-constexpr unsigned kLoopTurnsToReadInput = 2;
 
 }  // namespace
 
@@ -323,25 +320,17 @@
 }
 
 // ---- start of attempts ---------------------------------------------------------------------------------
-// After a busy or stalled period, this thread may not yet have read that a client has disconnected, and would
-// start a query for a client that is gone. If the client has unread input, the sockets are therefore read
-// before the attempt is launched.
+// After a busy or stalled period, this thread may not yet have read that a client has disconnected or cancelled
+// the request, and would start a query for a client that is gone. The client's input is therefore read before
+// the attempt is launched; see UnreadInputWait.
 bool Shard::defer_until_input_read(const AttemptPtr& attempt) {
-  const auto& request = attempt->request;
-  if (!request || !request->response_handler || attempt->client_input_checked ||
-      !request->response_handler->has_unread_input())
-    return false;
-  attempt->client_input_checked = true;
+  const auto connection = attempt->request ? attempt->request->connection.lock() : nullptr;
+  if (!connection || !attempt->input_wait.continues(connection->unread_input(), now())) return false;
   deferred_attempts_.push_back(attempt);
-  launch_after(kLoopTurnsToReadInput, attempt);
-  return true;
-}
-
-void Shard::launch_after(unsigned turns, const AttemptPtr& attempt) {
-  environment_.defer([this, attempt, turns] {
-    if (turns > 1) return launch_after(turns - 1, attempt);
+  environment_.defer([this, attempt] {
     if (std::erase(deferred_attempts_, attempt) > 0) launch(attempt);
   });
+  return true;
 }
 
 // Starts the attempt on the most recent idle connection or on a new one. If an idle connection turns out to
@@ -349,7 +338,6 @@
 void Shard::launch(const AttemptPtr& attempt) {
   if (attempt->first_byte_sent_at > Time::zero()) return;  // already started on another connection
   if (defer_until_input_read(attempt)) return;
-  attempt->client_input_checked = false;
   attempt->commanded_at = now();
   auto* pool = this->pool(attempt->engine);
   // Between the selection of the engine and now, the engine may have started to drain, or this thread may
--- a/src/path/shard.hpp
+++ b/src/path/shard.hpp
@@ -112,8 +112,7 @@
   void end_attempt(const AttemptPtr& attempt, sql::StatementResult observed, std::string_view code = {},
                    bool cancelled = false);
   void end_attempt(const AttemptPtr& attempt, AttemptResult result);
-  // Returns true if the client of the attempt has unread input. The attempt is then launched after that input
-  // has been read. This happens at most once per launch, because a client may keep sending.
+  // Returns true if the attempt must not start before input of its client has been read. It is launched then.
   bool defer_until_input_read(const AttemptPtr& attempt);
   // Opens another connection for an attempt whose first connection is slow to open, if a descriptor is
   // available.
@@ -193,7 +192,6 @@
   [[nodiscard]] AttemptPtr make_attempt(const router::DispatchAttempt& command,
                                         const ClientRequestPtr& request) const;
   void launch(const AttemptPtr& attempt);
-  void launch_after(unsigned turns, const AttemptPtr& attempt);
   void connect(EnginePool& pool, const AttemptPtr& attempt);
   bool drop_waiting(const AttemptPtr& attempt);
   void finish_attempt(const AttemptPtr& attempt, AttemptResult result);
--- a/src/path/stream.hpp
+++ b/src/path/stream.hpp
@@ -6,6 +6,7 @@
 // scheduled with ShardEnvironment::defer().
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -53,6 +54,8 @@
   virtual void set_reading(bool on) = 0;
   // Returns whether there is nothing to read, neither bytes nor the end of the stream.
   [[nodiscard]] virtual bool nothing_to_read() = 0;
+  // Returns the number of bytes that have arrived and are unread.
+  [[nodiscard]] virtual std::size_t unread_bytes() = 0;
   // Sends the end of the stream after the data that was written.
   virtual void shut_down_writing() = 0;
   // If `reset` is true, data that is not delivered yet is discarded, and the peer sees a connection reset
--- a/tests/path/platform_engine_test.cpp
+++ b/tests/path/platform_engine_test.cpp
@@ -316,6 +316,40 @@
   EXPECT_TRUE(dialled_[2]->written.starts_with("POST"));
 }
 
+// After a stall, a client's cancellation, or the end of its connection, is unread behind many other bytes. The
+// query was started after two turns of the event loop, which read the first 32 KiB, and ran for nobody.
+TEST_F(Platform, StartsNothingBeforeInputBehindManyBytesIsRead) {
+  constexpr std::size_t kReadBytes = 16 << 10, kStatementBytes = 100'000;
+  unsigned n = 0;
+  for (const bool cancels : {true, false}) {
+    dialled_.clear();
+    published_events_.clear();
+    const auto client = connect_client();
+    const auto ticket = send_request(client, 2 * n + 1);
+    auto unread = encode_large_request(2 * n + 2, request_id(2 * n + 2), kStatementBytes);
+    if (cancels) unread += encode_frame(8, 2 * n + 1, "");
+    client->has_unread_input = true;
+    client->unread_byte_count = unread.size();
+    std::vector<ShardCommand> commands;
+    commands.emplace_back(router::Command(router::DispatchAttempt{ticket, 0, 7, now_ + 1400ms, {}, {}}));
+    shard_.execute(commands);
+    while (!unread.empty()) {
+      for (int turn = 0; turn < 2; ++turn) run_one_deferred();
+      ASSERT_TRUE(dialled_.empty()) << "expected no start while " << unread.size() << " bytes are unread";
+      const auto piece = unread.substr(0, kReadBytes);
+      unread.erase(0, piece.size());
+      client->unread_byte_count = unread.size();
+      client->deliver(piece);
+    }
+    run_one_deferred();
+    if (!cancels) client->reset();
+    run_deferred();
+    EXPECT_TRUE(dialled_.empty());
+    EXPECT_EQ(attempt_results(), std::vector{AttemptResult::never_started});
+    ++n;
+  }
+}
+
 // An engine may send a response twice; the duplicate may arrive after the next query has begun.
 TEST_F(Platform, LateDuplicateResponseIsNotTakenForTheNextQuery) {
   dispatch_attempt(send_request(connect_client(), 1), 0, 7);
--- a/tests/path/shard_fixture.hpp
+++ b/tests/path/shard_fixture.hpp
@@ -28,6 +28,7 @@
   void notify_when_writable() override {}
   void set_reading(bool) override {}
   bool nothing_to_read() override { return !connection_lost && !has_unread_input; }
+  std::size_t unread_bytes() override { return unread_byte_count; }
   void shut_down_writing() override { writing_shut_down = true; }
   void close(bool reset) override { closed = true, closed_by_reset = reset, observer_.reset(); }
   [[nodiscard]] DialFailure dial_failure() const override { return failure; }
@@ -53,9 +54,10 @@
   std::string written;
   config::Address address;
   bool connection_lost = false, writing_shut_down = false, closed = false;
-  bool closed_by_reset = false;   // the shard closed it with `reset`, which discards undelivered data
-  bool has_unread_input = false;  // the remote end has sent data that is not delivered yet
-  bool write_blocked = false;     // the remote end does not read
+  bool closed_by_reset = false;       // the shard closed it with `reset`, which discards undelivered data
+  bool has_unread_input = false;      // the remote end has sent data that is not delivered yet
+  std::size_t unread_byte_count = 0;  // of that data; 0 if only the end of the input is unread
+  bool write_blocked = false;  // the remote end does not read
   // If set to 1, the next write accepts 20 bytes. If set to 0, writes accept nothing.
   std::optional<unsigned> partial_writes_left;
   DialFailure failure = DialFailure::unknown;
@@ -130,12 +132,14 @@
   void publish(TimedEvent event) override { published_events_.push_back(std::move(event)); }
   void log(Level, std::string line) override { logged_.push_back(std::move(line)); }
 
+  void run_one_deferred() {
+    if (deferred_.empty()) return;
+    const auto then = std::move(deferred_.front());
+    deferred_.pop_front();
+    then();
+  }
   void run_deferred() {
-    while (!deferred_.empty()) {
-      const auto then = std::move(deferred_.front());
-      deferred_.pop_front();
-      then();
-    }
+    while (!deferred_.empty()) run_one_deferred();
   }
   // Advances the clock to `moment` and fires the timers that are due, in the order of their times.
   void advance_to(Time moment) {
