The id of a request that may have run is remembered however the request ended

What callers saw: a request that must not run twice was answered, its client left, the same id came again and ran again.

Cause: Shard::disconnect remembered ids of requests whose client had left while they were open, and nothing else did.

Change: Shard::remember_possibly_ran, also for each answer but a rejection, until the deadline of the request. Sent again, it gets `failed`.

The new test fails with the call taken out.

--- a/src/path/frame_client_connection.cpp
+++ b/src/path/frame_client_connection.cpp
@@ -270,6 +270,7 @@
   const auto self = shared_from_this();
   client_request->response_handler = nullptr;
   if (!apply(client_request->response_state, ResponseEvent::finish)) return;
+  if (code != frames::ResponseCode::rejected) shard_.remember_possibly_ran(*client_request);
   const auto stream = static_cast<std::uint32_t>(client_request->call_index);
   const auto found = open_requests_.find(stream);
   if (closed() || found == open_requests_.end() || found->second != client_request) return;
--- a/src/path/query_deletions.cpp
+++ b/src/path/query_deletions.cpp
@@ -8,8 +8,8 @@
 namespace heronwell::path {
 namespace {
 
-// Maximum number of request ids that are recorded as possibly run. Each stands for a client that abandoned a
-// request that is not idempotent, so only faulty clients produce this many within one deadline. Further ids
+// Maximum number of request ids that are recorded as possibly run. Each stands for an attempt of a request that is
+// not idempotent, and engines run far fewer of these for one router within one deadline. Further ids
 // are not recorded, and their reuse is not rejected.
 constexpr std::size_t kMaxPossiblyRanIds = 4096;
 
--- a/src/path/shard.cpp
+++ b/src/path/shard.cpp
@@ -217,13 +217,17 @@
   if (request->attempts > 0) stage = 'A';
   if (request->streaming()) stage = 'D';
   record_finished(request, {'C', stage}, 0);
-  const bool idempotent = config_.module.classes[request->class_index].idempotency == Idempotency::idempotent;
-  if (request->attempts > 0 && !idempotent && !request->client_request_id.empty())
-    deletions_.remember_possibly_ran(request->client_request_id, request->deadline);
+  remember_possibly_ran(*request);
   publish(ClientDisconnected{request->ticket});
   forget_request(request);
 }
 
+void Shard::remember_possibly_ran(const ClientRequest& request) {
+  const bool idempotent = config_.module.classes[request.class_index].idempotency == Idempotency::idempotent;
+  if (request.attempts > 0 && !idempotent && !request.client_request_id.empty())
+    deletions_.remember_possibly_ran(request.client_request_id, request.deadline);
+}
+
 void Shard::forget_request(const ClientRequestPtr& request) {
   if (!requests_.erase(request)) return;
   metrics_.open_requests->Decrement();
--- a/src/path/shard.hpp
+++ b/src/path/shard.hpp
@@ -87,8 +87,10 @@
   // having started.
   void forget_request(const ClientRequestPtr& request);
   [[nodiscard]] bool request_id_open(const std::string& id) const { return requests_.id_open(id); }
-  // True if the client of a non-idempotent request with this id disconnected when an attempt of the request
-  // may already have run.
+  // Must be called for a request that ends without proof that it never ran.
+  void remember_possibly_ran(const ClientRequest& request);
+  // True if a non-idempotent request with this id has ended and an attempt of it may have run. It is remembered
+  // until the deadline of the request.
   [[nodiscard]] bool may_have_run(const std::string& id) const { return deletions_.may_have_run(id); }
   [[nodiscard]] std::size_t open_count() const { return requests_.size(); }
 
--- a/tests/path/platform_engine_test.cpp
+++ b/tests/path/platform_engine_test.cpp
@@ -350,6 +350,46 @@
   }
 }
 
+// A client gets the answer of a request that must not run twice, leaves, comes again and sends the id once more.
+// Only ids of clients that left before the answer were remembered, so the request ran a second time.
+TEST_F(Platform, IdOfARequestThatRanIsNotRunAgainAfterItsClientHasLeft) {
+  const auto first = connect_client();
+  first->deliver(encode_request(1, request_id(1), "load"));
+  const auto ticket = received_tickets().back();
+  dispatch_attempt(ticket, 0, 7);
+  dialled_[0]->connect();
+  deliver_result(dialled_[0], kRows);
+  execute(router::Command(router::DeliverResponse{ticket, 0}));
+  EXPECT_EQ(read_responses(*first), (std::vector<std::pair<std::uint32_t, int>>{{1, 0}}));
+  first->reset();
+  const auto again = connect_client();
+  again->deliver(encode_request(1, request_id(1), "load"));
+  EXPECT_EQ(received_tickets().size(), 1U) << "expected the request not to be admitted";
+  EXPECT_EQ(read_responses(*again), (std::vector<std::pair<std::uint32_t, int>>{{1, 2}}))
+      << "expected `failed`: a rejection would say that nothing has run";
+  advance_to(now_ + 2s);
+  again->deliver(encode_request(2, request_id(1), "load"));
+  EXPECT_EQ(received_tickets().size(), 2U) << "expected the id to be forgotten after its deadline";
+}
+
+// A rejected request never ran, so its id may come again.
+TEST_F(Platform, IdOfARejectedRequestMayComeAgain) {
+  const auto client = connect_client();
+  client->deliver(encode_request(1, request_id(1), "load"));
+  const auto ticket = received_tickets().back();
+  dispatch_attempt(ticket, 0, 7);
+  dialled_[0]->connect();
+  dialled_[0]->deliver(http_response("503 Full\r\nX-No-Effect: 1\r\n"));
+  router::FinishRequest rejection;
+  rejection.ticket = ticket;
+  rejection.status = router::FinalStatus::rejected;
+  rejection.attempts = 1;
+  execute(router::Command(rejection));
+  EXPECT_EQ(read_responses(*client), (std::vector<std::pair<std::uint32_t, int>>{{1, 1}}));
+  client->deliver(encode_request(2, request_id(1), "load"));
+  EXPECT_EQ(received_tickets().size(), 2U);
+}
+
 // An engine may send a response twice; the duplicate may arrive after the next query has begun.
 TEST_F(Platform, LateDuplicateResponseIsNotTakenForTheNextQuery) {
   dispatch_attempt(send_request(connect_client(), 1), 0, 7);
