HTTP clients share a limit on buffered bytes, listen.buffered

What callers saw: 400 clients of serve that stopped within a request of 1 MB took 361 MB of private memory, 383 MB if they wrote it slowly; it grew with the number of clients, of which 20,000 may come.

Cause: each connection had its limits, nothing limited the sum; BufferLimit counted the platform's frames only.

Evidence: trials with real processes, by RssAnon. Ruled out: 2,000 heads of 98 short fields, 15 MB.

Change: HTTP connections report input, body, parser and unsent responses to the account of the shard, statements count until their last attempt. Above the limit incomplete requests get 503 and Retry-After, the oldest first; complete ones are rejected as on the platform. The platform's limit, a quarter of memory_mb, is the same key now. An idle connection releases the parser's memory.

The three new tests fail where the limit or the release is taken out.

--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -50,6 +50,7 @@
     std::size_t pipeline = 0;     // maximum number of unanswered requests per connection
     std::size_t hold = 0;         // a response up to this size is buffered completely, a longer one streamed
     std::size_t high_water = 0;   // reading from the engine pauses above about this size of unsent response
+    std::size_t buffered = 0;  // maximum bytes buffered for all clients and engines, for all shards together
   } listen;
 
   // Connections to engines.
@@ -115,7 +116,6 @@
     std::size_t memory_mb = 0;   // maximum memory of the process, MiB
     std::size_t ending = 0;      // maximum number of client connections that are being closed
     std::size_t removals = 0;    // maximum number of connections for query deletions
-    std::size_t held_bytes = 0;  // maximum bytes received from all clients or buffered for them
     Time frame_time{};           // time limit for a complete frame of a client, from its first byte
   };
   std::optional<Platform> platform;  // none: the router does not run on the platform
--- a/src/config/config_reader.cpp
+++ b/src/config/config_reader.cpp
@@ -90,7 +90,10 @@
   // response can be retried.
   listen.hold = section.size("hold", 256 << 10);
   listen.high_water = section.size("high_water", 256 << 10);
+  // Some hundred requests of the largest size at once, and well below the memory of a usual machine.
+  listen.buffered = section.size("buffered", 256 << 20);
   if (listen.limits.header_bytes < kMinHeaderBytes) section.fail("header_bytes", "expected at least 256B");
+  if (listen.buffered < listen.limits.body) section.fail("buffered", "expected at least the size of `body`");
   if (listen.high_water < kMinHighWaterBytes) section.fail("high_water", "expected at least 1KiB");
   section.close();
 }
--- a/src/config/effective_config.cpp
+++ b/src/config/effective_config.cpp
@@ -28,11 +28,12 @@
       std::back_inserter(out),
       "listen:\n  host: {}\n  port: {}\n  request_line: {}\n  header_bytes: {}\n  header_count: {}\n"
       "  body: {}\n  header_time: {}\n  idle_time: {}\n  stall_time: {}\n  connections: {}\n"
-      "  pipeline: {}\n  hold: {}\n  high_water: {}\n",
+      "  pipeline: {}\n  hold: {}\n  high_water: {}\n  buffered: {}\n",
       listen.at.host, listen.at.port, size_text(listen.limits.start_line),
       size_text(listen.limits.header_bytes), listen.limits.header_count, size_text(listen.limits.body),
       duration_text(listen.header_time), duration_text(listen.idle_time), duration_text(listen.stall_time),
-      listen.connections, listen.pipeline, size_text(listen.hold), size_text(listen.high_water));
+      listen.connections, listen.pipeline, size_text(listen.hold), size_text(listen.high_water),
+      size_text(listen.buffered));
 }
 
 void print_engines(std::string& out, const Config::Engines& engines) {
--- a/src/config/platform_config.cpp
+++ b/src/config/platform_config.cpp
@@ -134,7 +134,6 @@
   const Json limits = found == json.end() ? Json::object() : *found;
   platform.sockets = read_limit(limits, "sockets", kMinSockets, kDefaultSockets);
   platform.memory_mb = read_limit(limits, "memory_mb", kMinMemoryMb, kDefaultMemoryMb);
-  platform.held_bytes = (platform.memory_mb << 20) / kBufferedBytesDivisor;
   platform.frame_time = kFrameTimeout;
   return platform;
 }
@@ -192,6 +191,7 @@
   auto platform = read_platform_settings(parsed, file);
   divide_descriptors(config, platform);
   set_client_limits(config);
+  config.listen.buffered = (platform.memory_mb << 20) / kBufferedBytesDivisor;
   set_engine_limits(settings, config.engines);
   config.platform = std::move(platform);
   // The only log on the platform is standard error, to which only warnings are written.
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -12,6 +12,9 @@
 // Of a chunk's size line, including chunk extensions, which are ignored.
 constexpr std::size_t kMaxChunkLineBytes = 256;
 
+// Bytes that a parser keeps between messages. The head of a usual request fits.
+constexpr std::size_t kMaxIdleBytes = 4 << 10;
+
 bool is_token_char(char c) {
   constexpr std::string_view others = "!#$%&'*+-.^_`|~";
   return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') ||
@@ -64,6 +67,28 @@
   return false;
 }
 
+std::size_t Parser::buffered_bytes() const {
+  return line_.capacity() + head_.capacity() + fields_.capacity() * sizeof(Field) +
+         field_slices_.capacity() * sizeof(std::pair<Slice, Slice>);
+}
+
+void Parser::release() {
+  std::string().swap(line_);
+  std::string().swap(head_);
+  std::vector<Field>().swap(fields_);
+  std::vector<std::pair<Slice, Slice>>().swap(field_slices_);
+  method_ = target_ = {};
+}
+
+void Parser::release_unused() {
+  if (between_messages() && buffered_bytes() > kMaxIdleBytes) release();
+}
+
+void Parser::abandon() {
+  release();
+  state_ = State::failed;
+}
+
 void Parser::reset() {
   state_ = State::start_line;
   line_.clear();
--- a/src/http/message.hpp
+++ b/src/http/message.hpp
@@ -55,6 +55,12 @@
   // Tells the parser that the peer closed the connection. Completes a response whose body is delimited by the
   // close. Any other incomplete message is an error; between messages it returns need_more.
   Step close();
+  // The bytes that the parser holds, by capacity.
+  [[nodiscard]] std::size_t buffered_bytes() const;
+  // Releases the memory of the last message if the parser is between messages.
+  void release_unused();
+  // Ends the parser while a message is incomplete, and releases its memory. It reads nothing more.
+  void abandon();
   // For Role::response: the next response has no body whatever its fields say, as in response to HEAD or
   // CONNECT.
   void no_body_follows() { no_body_ = true; }
@@ -102,6 +108,7 @@
   bool finish_head();
   bool parse_chunk_size();
   void reset();
+  void release();
   [[nodiscard]] std::string_view view(Slice slice) const {
     return std::string_view(head_).substr(slice.offset, slice.size);
   }
--- a/src/path/buffer_limit.hpp
+++ b/src/path/buffer_limit.hpp
@@ -27,8 +27,7 @@
 
 class BufferLimit {
  public:
-  // A `max_bytes` of 0 means no limit. HTTP clients use 0, because each HTTP connection has its own limits.
-  // `clients` must outlive this object.
+  // A `max_bytes` of 0 means no limit. `clients` must outlive this object.
   BufferLimit(std::size_t max_bytes, const ClientMap& clients)
       : max_bytes_(max_bytes), clients_(clients), account_(std::make_shared<BufferAccount>()) {}
 
--- a/src/path/client_connection.cpp
+++ b/src/path/client_connection.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <utility>
 
+#include "path/buffered_statement.hpp"
 #include "path/graphql.hpp"
 #include "path/tracing.hpp"
 
@@ -20,6 +21,7 @@
 // A body smaller than this many bytes is appended to the buffer of its head. A larger body is written from
 // its own buffer, which is cheaper than a copy.
 constexpr std::size_t kMaxBodyCopiedToHead = 4096;
+constexpr int kServiceUnavailable = 503;
 
 }  // namespace
 
@@ -28,7 +30,9 @@
       number_(number),
       stream_(std::move(stream)),
       parser_(http::Role::request, shard.config().listen.limits),
-      client_address_(std::move(address)) {
+      client_address_(std::move(address)),
+      input_bytes_(shard.buffer_account(), BufferKind::client_input),
+      output_bytes_(shard.buffer_account(), BufferKind::client_output) {
   shard_.metrics().connections->Increment();
   shard_.metrics().clients->Increment();
   last_active_at_ = last_write_at_ = shard_.now();
@@ -54,15 +58,31 @@
     read_buffer_ += bytes;
     read_buffer_.erase(0, parse(read_buffer_));
   }
+  end_turn();
+}
+
+// Pauses reading if input is left that can't be parsed yet, and releases memory that is not needed.
+void ClientConnection::end_turn() {
   if (state_ != ClientConnectionState::reading) {
     std::string().swap(read_buffer_);
   } else if (pipeline_full()) {
     reading_paused_ = true;
     stream_->set_reading(false);
   } else if (parser_.between_messages() && requests_.empty()) {
-    std::string().swap(request_body_);  // releases the memory: there may be thousands of idle connections
+    // There may be thousands of idle connections.
+    std::string().swap(request_body_);
+    parser_.release_unused();
     if (read_buffer_.empty()) std::string().swap(read_buffer_);
   }
+  release_unused(read_buffer_);
+  account_buffered();
+  shard_.enforce_buffer_limit();
+}
+
+void ClientConnection::resume_reading_later() {
+  shard_.environment().defer([weak = weak_from_this()] {
+    if (auto self = weak.lock()) self->resume_reading();
+  });
 }
 
 // Resumes reading once the pipeline is no longer full.
@@ -72,12 +92,48 @@
   reading_paused_ = false;
   if (state_ == ClientConnectionState::reading && !read_buffer_.empty()) {
     read_buffer_.erase(0, parse(read_buffer_));
-    if (state_ == ClientConnectionState::reading && pipeline_full()) {
-      reading_paused_ = true;
-      return;
-    }
+    end_turn();
   }
-  if (state_ != ClientConnectionState::closed) stream_->set_reading(true);
+  if (state_ != ClientConnectionState::closed && !reading_paused_) stream_->set_reading(true);
+}
+
+void ClientConnection::account_buffered() {
+  input_bytes_.set(closed() ? 0
+                            : read_buffer_.capacity() + request_body_.capacity() + parser_.buffered_bytes());
+  output_bytes_.set(closed() ? 0 : unwritten_bytes_);
+}
+
+std::optional<ClientProtocol::IncompleteFrame> ClientConnection::incomplete_frame() const {
+  const bool incomplete = state_ == ClientConnectionState::reading && !parsing_ && !reading_paused_ &&
+                          !parser_.between_messages();
+  if (!incomplete ||
+      read_buffer_.capacity() + request_body_.capacity() + parser_.buffered_bytes() <= kMaxIdleBufferBytes)
+    return std::nullopt;
+  return IncompleteFrame{!requests_.empty(), head_started_at_};
+}
+
+void ClientConnection::reject_incomplete_frame() {
+  parser_.abandon();
+  std::string().swap(read_buffer_);
+  std::string().swap(request_body_);
+  account_buffered();
+  router::Problem problem;
+  problem.status = kServiceUnavailable;
+  problem.outcome = router::ProblemOutcome::rejected;
+  problem.detail = "no memory is left for another request";
+  problem.retry_after = shard_.config().module.max_retry_after;
+  shard_.reject_for_memory(add_last_request(), problem);
+}
+
+// Adds a request that is not complete. Its response ends the connection.
+ClientRequestPtr ClientConnection::add_last_request() {
+  auto client_request = std::make_shared<ClientRequest>();
+  client_request->client = shared_from_this();
+  client_request->keep_alive = false;
+  client_request->received_at = shard_.now();
+  requests_.push_back(client_request);
+  apply(state_, ClientConnectionEvent::last_request);
+  return client_request;
 }
 
 void ClientConnection::on_closed(bool broken) {
@@ -112,6 +168,7 @@
 }
 
 std::size_t ClientConnection::parse(std::string_view in) {
+  parsing_ = true;
   std::size_t used = 0;
   while (state_ == ClientConnectionState::reading && !pipeline_full()) {
     if (parser_.between_messages()) head_started_at_ = shard_.now();
@@ -133,18 +190,13 @@
       last_active_at_ = shard_.now();
       dispatch();
     } else {
-      auto client_request = std::make_shared<ClientRequest>();
-      client_request->client = shared_from_this();
-      client_request->keep_alive = false;
-      client_request->received_at = shard_.now();
-      requests_.push_back(client_request);
-      apply(state_, ClientConnectionEvent::last_request);
       router::Problem problem;
       problem.status = parser_.status();
       problem.detail = parser_.reason();
-      reject(client_request, problem);
+      reject(add_last_request(), problem);
     }
   }
+  parsing_ = false;
   return used;
 }
 
@@ -187,8 +239,7 @@
   auto read = shard_.query_parser().parse(request_body_, parser_.find("heronwell-timeout-ms"));
   if (const auto* wrong = std::get_if<router::Problem>(&read)) return reject(client_request, *wrong);
   auto& query = std::get<router::ParsedQuery>(read);
-  client_request->statement =
-      std::make_shared<const sql::Statement>(sql::Statement{std::move(query.statement)});
+  client_request->statement = buffered_statement(shard_.buffer_account(), query.statement);
   shard_.submit(client_request, std::move(query.spec));
 }
 
@@ -271,10 +322,7 @@
     next->buffered_response.clear();
   }
   last_active_at_ = shard_.now();
-  if (reading_paused_)
-    shard_.environment().defer([weak = weak_from_this()] {
-      if (auto self = weak.lock()) self->resume_reading();
-    });
+  if (reading_paused_) resume_reading_later();
   write_buffered();
 }
 
@@ -283,6 +331,11 @@
 }
 
 void ClientConnection::write_buffered() {
+  write_out();
+  account_buffered();
+}
+
+void ClientConnection::write_out() {
   if (awaiting_writable_ || closed()) return;
   while (!write_buffers_.empty()) {
     std::array<std::string_view, kMaxBuffersPerWrite> pieces;
@@ -358,15 +411,10 @@
   }
   if (!requests_.empty()) return;
   if (!parser_.between_messages() && now > head_started_at_ + listen.header_time && parser_.in_head()) {
-    auto client_request = std::make_shared<ClientRequest>();
-    client_request->client = shared_from_this();
-    client_request->keep_alive = false;
-    requests_.push_back(client_request);
-    apply(state_, ClientConnectionEvent::last_request);
     router::Problem problem;
     problem.status = 408;
     problem.detail = "the head did not come in header_time";
-    return reject(client_request, problem);
+    return reject(add_last_request(), problem);
   }
   if (now > std::max(last_active_at_, parser_.between_messages() ? Time::zero() : head_started_at_) +
                 listen.idle_time)
@@ -388,6 +436,7 @@
   if (closed()) return;
   const auto self = shared_from_this();
   apply(state_, event);
+  account_buffered();
   stream_->close(reset);
   requests_.clear();
   drained_callbacks_.clear();
--- a/src/path/client_connection.hpp
+++ b/src/path/client_connection.hpp
@@ -11,6 +11,8 @@
 // - A client sends an incomplete request or none. The connection is closed after `listen.header_time` or
 //   `listen.idle_time`, respectively.
 // - A streamed response fails midway. It must not look complete, so the connection is reset.
+// - Many clients send large requests at once, or stop in the middle of them. Their bytes are counted for the whole
+//   shard (buffer_limit.hpp), and incomplete requests are rejected above `listen.buffered`.
 //
 // All calls are made on the thread of the shard. The states are listed in ClientConnectionState
 // (state_tables.hpp).
@@ -55,6 +57,8 @@
 
   void close_expired(Time now) override;
   void begin_shutdown() override;
+  [[nodiscard]] std::optional<IncompleteFrame> incomplete_frame() const override;
+  void reject_incomplete_frame() override;
   [[nodiscard]] bool closed() const { return state_ == ClientConnectionState::closed; }
   [[nodiscard]] ClientConnectionState state() const { return state_; }
 
@@ -64,13 +68,18 @@
 
  private:
   [[nodiscard]] bool pipeline_full() const;
+  void end_turn();
   void resume_reading();
+  void resume_reading_later();
   std::size_t parse(std::string_view in);
   void dispatch();
+  ClientRequestPtr add_last_request();
+  void account_buffered();
   void reject(const ClientRequestPtr& client_request, const router::Problem& problem);
   void append_response(const ClientRequestPtr& client_request, std::string bytes);
   void release_next_responses();
   void write_buffered();
+  void write_out();
   void consume_written(std::size_t bytes);
   void on_client_gone(bool unwritable);
   void drop_pending_requests();
@@ -93,7 +102,9 @@
   std::uint64_t read_bytes_ = 0;  // of all input
   Time head_started_at_{}, last_active_at_{}, last_write_at_{};
   ClientConnectionState state_ = ClientConnectionState::reading;
-  bool awaiting_writable_ = false, reading_paused_ = false;  // paused: the pipeline is full
+  BufferedBytes input_bytes_, output_bytes_;
+  bool parsing_ = false;  // parse() refers to the buffers
+  bool awaiting_writable_ = false, reading_paused_ = false;
 };
 
 }  // namespace heronwell::path
--- a/src/path/shard.cpp
+++ b/src/path/shard.cpp
@@ -38,7 +38,7 @@
       tracer_(tracer),
       tenant_names_(router::tenant_names(config.module)),
       stall_detector_(now()),
-      buffer_limit_(config.platform ? config.platform->held_bytes : 0, clients_),
+      buffer_limit_(config.listen.buffered / shard_count, clients_),
       requests_(index),
       deletions_(config.platform ? config.platform->removals : 1),
       descriptors_(environment, config, metrics, shard_count, pools_, clients_,
@@ -176,6 +176,12 @@
   reject_at_limit(request, "no memory is left for another request");
 }
 
+void Shard::reject_for_memory(const ClientRequestPtr& request, const router::Problem& problem) {
+  buffer_limit_.count_rejection();
+  record_finished(request, {'L', '-'}, problem.status);
+  responses_.respond_with_problem(request, problem);
+}
+
 void Shard::reject_at_limit(const ClientRequestPtr& request, std::string reason) {
   router::Problem problem;
   problem.status = 503;
--- a/src/path/shard.hpp
+++ b/src/path/shard.hpp
@@ -150,6 +150,8 @@
   // See BufferLimit.
   [[nodiscard]] const BufferAccountPtr& buffer_account() const { return buffer_limit_.account(); }
   void enforce_buffer_limit() { buffer_limit_.enforce(); }
+  // Rejects a request of which a part has arrived, because of that limit.
+  void reject_for_memory(const ClientRequestPtr& request, const router::Problem& problem);
   // The earliest time at which the input that is read now may have arrived: see StallDetector. Deadlines are
   // measured from this time.
   Time input_waiting_since() { return stall_detector_.input_waiting_since(now()); }
--- a/tests/path/http_client_test.cpp
+++ b/tests/path/http_client_test.cpp
@@ -5,11 +5,12 @@
 namespace heronwell::path {
 namespace {
 
+constexpr std::size_t kLimitBytes = 2 << 20, kBodyBytes = 256 << 10, kHighWaterBytes = 16 << 10;
 constexpr std::size_t kPieceBytes = 16 << 10;
 
 constexpr const char* kConfig = R"yaml(
 gateway: {name: gw0, seed: 5, threads: 1, of: 1, number: 0}
-listen: {port: 0, body: 256KiB}
+listen: {port: 0, body: 256KiB, buffered: 2MiB, high_water: 16KiB}
 list: {file: none}
 log: {requests: none}
 kinds: {small: {cores: 4, memory: 4GiB}}
@@ -26,8 +27,67 @@
     return "POST /v1/query HTTP/1.1\r\nhost: a\r\ncontent-length: " + std::to_string(body.size()) +
            "\r\n\r\n" + body;
   }
+  static void deliver_in_pieces(const FakeStreamPtr& client, std::string_view bytes) {
+    for (std::size_t at = 0; at < bytes.size(); at += kPieceBytes)
+      client->deliver(bytes.substr(at, kPieceBytes));
+  }
+  [[nodiscard]] std::size_t buffered_bytes() const { return shard_.buffer_account()->total(); }
+  static std::size_t response_count(const FakeStream& client) {
+    std::size_t count = 0;
+    for (std::size_t at = 0; (at = client.written.find("HTTP/1.1 200", at)) != std::string::npos; ++at)
+      ++count;
+    return count;
+  }
+  // As many small requests as one read delivers.
+  static std::string small_requests() {
+    std::string out;
+    while (out.size() < kPieceBytes) out += "GET /healthz HTTP/1.1\r\nhost: a\r\n\r\n";
+    return out;
+  }
+  static std::size_t count_requests(std::string_view text) {
+    return static_cast<std::size_t>(std::ranges::count(text, 'G'));
+  }
 };
 
+// Many clients stop in the middle of a large request. Each connection had its limits, but not all together, so the
+// memory of the process grew with the number of clients.
+TEST_F(HttpClients, IncompleteRequestsOfAllClientsTogetherKeepWithinTheLimit) {
+  const auto request = query(kBodyBytes - 100);
+  std::vector<FakeStreamPtr> clients;
+  for (int i = 0; i < 40; ++i) {
+    clients.push_back(connect_client());
+    deliver_in_pieces(clients.back(), std::string_view(request).substr(0, request.size() - 1));
+    EXPECT_LE(buffered_bytes(), kLimitBytes);
+  }
+  EXPECT_TRUE(clients[0]->written.starts_with("HTTP/1.1 503")) << "expected the oldest to be rejected first";
+  EXPECT_TRUE(clients[0]->writing_shut_down);
+  EXPECT_NE(clients[0]->written.find("no memory is left"), std::string::npos);
+  EXPECT_TRUE(clients.back()->written.empty()) << "expected the newest to be kept";
+  clients.back()->deliver(std::string_view(request).substr(request.size() - 1));
+  EXPECT_EQ(received_tickets().size(), 1U) << "expected a request that is complete to be admitted";
+}
+
+TEST_F(HttpClients, ManyIncompleteHeadsKeepWithinTheLimit) {
+  std::string head = "GET /healthz HTTP/1.1\r\nhost: a\r\n";
+  for (int i = 0; i < 90; ++i) head += "x-" + std::to_string(i) + ": " + std::string(330, 'v') + "\r\n";
+  std::vector<FakeStreamPtr> clients;
+  for (int i = 0; i < 200; ++i) {
+    clients.push_back(connect_client());
+    deliver_in_pieces(clients.back(), head);
+    EXPECT_LE(buffered_bytes(), kLimitBytes);
+  }
+  EXPECT_TRUE(clients[0]->written.starts_with("HTTP/1.1 503"));
+}
+
+TEST_F(HttpClients, IdleConnectionReleasesTheMemoryOfALargeRequest) {
+  const auto client = connect_client();
+  std::string request = "GET /healthz HTTP/1.1\r\nhost: a\r\n";
+  for (int i = 0; i < 90; ++i) request += "x-" + std::to_string(i) + ": " + std::string(330, 'v') + "\r\n";
+  deliver_in_pieces(client, request + "\r\n");
+  EXPECT_EQ(response_count(*client), 1U);
+  EXPECT_LE(buffered_bytes(), 4U << 10);
+}
+
 // A client closes its connection with much still unread. Nothing of it was looked at before a start, so the query ran
 // although its client was gone.
 TEST_F(HttpClients, NothingStartsBeforeUnreadInputOfTheClientIsRead) {
--- a/tests/path/shard_fixture.hpp
+++ b/tests/path/shard_fixture.hpp
@@ -26,7 +26,7 @@
     return bytes;
   }
   void notify_when_writable() override {}
-  void set_reading(bool) override {}
+  void set_reading(bool on) override { reading = on; }
   bool nothing_to_read() override { return !connection_lost && !has_unread_input; }
   std::size_t unread_bytes() override { return unread_byte_count; }
   void shut_down_writing() override { writing_shut_down = true; }
@@ -57,6 +57,7 @@
   bool closed_by_reset = false;       // the shard closed it with `reset`, which discards undelivered data
   bool has_unread_input = false;      // the remote end has sent data that is not delivered yet
   std::size_t unread_byte_count = 0;  // of that data; 0 if only the end of the input is unread
+  bool reading = false;
   bool write_blocked = false;  // the remote end does not read
   // If set to 1, the next write accepts 20 bytes. If set to 0, writes accept nothing.
   std::optional<unsigned> partial_writes_left;
@@ -116,7 +117,7 @@
     execute(std::shared_ptr<const EndpointMap>(fleet));
   }
 
-  Time now() override { return now_; }
+  Time now() override { return now_ += time_per_call_; }
   std::uint64_t random_bits() override { return 1; }
   void fill_random(std::span<unsigned char>) override {}
   StreamPtr dial(const config::Address& address) override {
@@ -187,6 +188,7 @@
   }
 
   Time now_{100s};
+  Time time_per_call_{};  // by which each look at the clock advances it
   Config config_;
   Metrics metrics_;
   router::QueryParser query_parser_;
