No further HTTP request is read while many responses are unread

What callers saw: one client of serve that sent GET /healthz at full speed and read nothing took 546 MB in 5 s (GET /metrics 216 MB, queries of unknown classes 187 MB).

Those that are answered at once never fill it, and their responses had no limit until stall_time.

Evidence: the same floods of a client that reads stayed at 1 to 3 MB, so it is not the requests or the names in them.

Change: above listen.high_water bytes of unsent responses parsing stops, and reading pauses if input is left.

The new test fails with the check taken out.

--- a/src/path/client_connection.cpp
+++ b/src/path/client_connection.cpp
@@ -47,6 +47,10 @@
 
 bool ClientConnection::pipeline_full() const { return requests_.size() >= shard_.config().listen.pipeline; }
 
+bool ClientConnection::responses_unread() const {
+  return unwritten_bytes_ >= shard_.config().listen.high_water;
+}
+
 void ClientConnection::on_data(std::string_view bytes) {
   read_bytes_ += bytes.size();
   if (state_ != ClientConnectionState::reading)
@@ -65,7 +69,7 @@
 void ClientConnection::end_turn() {
   if (state_ != ClientConnectionState::reading) {
     std::string().swap(read_buffer_);
-  } else if (pipeline_full()) {
+  } else if (pipeline_full() || (!read_buffer_.empty() && responses_unread())) {
     reading_paused_ = true;
     stream_->set_reading(false);
   } else if (parser_.between_messages() && requests_.empty()) {
@@ -85,10 +89,10 @@
   });
 }
 
-// Resumes reading once the pipeline is no longer full.
+// Resumes reading once the pipeline is no longer full and the client has read enough of its responses.
 void ClientConnection::resume_reading() {
   if (!reading_paused_ || state_ == ClientConnectionState::closed) return;
-  if (state_ == ClientConnectionState::reading && pipeline_full()) return;
+  if (state_ == ClientConnectionState::reading && (pipeline_full() || responses_unread())) return;
   reading_paused_ = false;
   if (state_ == ClientConnectionState::reading && !read_buffer_.empty()) {
     read_buffer_.erase(0, parse(read_buffer_));
@@ -170,7 +174,8 @@
 std::size_t ClientConnection::parse(std::string_view in) {
   parsing_ = true;
   std::size_t used = 0;
-  while (state_ == ClientConnectionState::reading && !pipeline_full()) {
+  const auto must_wait = [&] { return used < in.size() && responses_unread(); };
+  while (state_ == ClientConnectionState::reading && !pipeline_full() && !must_wait()) {
     if (parser_.between_messages()) head_started_at_ = shard_.now();
     const auto read = parser_.next(in.substr(used));
     used += read.consumed;
@@ -385,7 +390,9 @@
     front_written_bytes_ = 0;
     write_buffers_.pop_front();
   }
-  if (unwritten_bytes_ < shard_.config().listen.high_water / 2) notify_drained();
+  if (unwritten_bytes_ >= shard_.config().listen.high_water / 2) return;
+  notify_drained();
+  if (reading_paused_) resume_reading_later();
 }
 
 void ClientConnection::abort_response() {
--- a/src/path/client_connection.hpp
+++ b/src/path/client_connection.hpp
@@ -13,6 +13,8 @@
 // - A streamed response fails midway. It must not look complete, so the connection is reset.
 // - Many clients send large requests at once, or stop in the middle of them. Their bytes are counted for the whole
 //   shard (buffer_limit.hpp), and incomplete requests are rejected above `listen.buffered`.
+// - A client pipelines requests and does not read the responses to those that are answered at once. Above
+//   `listen.high_water` bytes, no further request is read.
 //
 // All calls are made on the thread of the shard. The states are listed in ClientConnectionState
 // (state_tables.hpp).
@@ -68,6 +70,7 @@
 
  private:
   [[nodiscard]] bool pipeline_full() const;
+  [[nodiscard]] bool responses_unread() const;  // so many that no further request is dispatched
   void end_turn();
   void resume_reading();
   void resume_reading_later();
--- a/tests/path/http_client_test.cpp
+++ b/tests/path/http_client_test.cpp
@@ -88,6 +88,26 @@
   EXPECT_LE(buffered_bytes(), 4U << 10);
 }
 
+// A client sends small requests as fast as it can and reads no response. The limit on pipelined requests counts
+// requests without a response, so the responses accumulated until stall_time.
+TEST_F(HttpClients, FurtherRequestsAreNotReadWhileManyResponsesAreUnread) {
+  const auto client = connect_client();
+  client->write_blocked = true;
+  const auto requests = small_requests();
+  std::size_t sent = 0;
+  for (int i = 0; i < 100 && client->reading; ++i) {
+    client->deliver(requests);
+    sent += count_requests(requests);
+  }
+  EXPECT_FALSE(client->reading);
+  EXPECT_LE(buffered_bytes(), kHighWaterBytes + 3 * kPieceBytes);
+  client->write_blocked = false;
+  client->become_writable();
+  run_deferred();
+  EXPECT_EQ(response_count(*client), sent) << "expected every request to be answered once the client reads";
+  EXPECT_TRUE(client->reading);
+}
+
 // A client closes its connection with much still unread. Nothing of it was looked at before a start, so the query ran
 // although its client was gone.
 TEST_F(HttpClients, NothingStartsBeforeUnreadInputOfTheClientIsRead) {
