Pipelined requests of one HTTP client leave turns to the others

What callers saw: while one client of serve sent GET /metrics at full speed, another got 25 answers in 5 s in place of 120, and waited up to 1.1 s.

Cause: one read delivers some 470 requests, and parse() answered all of them, 2 ms each, before the event loop went on.

Evidence: the same flood with GET /healthz, some microseconds each, delayed others by 32 ms at most: requests in one read times the time of one. Ruled out: the limit on pipelined requests, as none was open.

Change: after 1 ms the rest of the input waits for the next turn of the event loop.

The new test fails with the check taken out.

--- a/src/path/client_connection.cpp
+++ b/src/path/client_connection.cpp
@@ -22,6 +22,9 @@
 // its own buffer, which is cheaper than a copy.
 constexpr std::size_t kMaxBodyCopiedToHead = 4096;
 constexpr int kServiceUnavailable = 503;
+// For this long one connection may answer requests that it has read before the other connections of the thread
+// have a turn. Most requests take some microseconds.
+constexpr Time kMaxTurnDuration = std::chrono::milliseconds(1);
 
 }  // namespace
 
@@ -55,6 +58,7 @@
   read_bytes_ += bytes.size();
   if (state_ != ClientConnectionState::reading)
     return;  // input is discarded; reading continues only to detect that the client disconnects
+  begin_turn();
   if (read_buffer_.empty()) {
     const auto used = parse(bytes);
     if (state_ == ClientConnectionState::reading) read_buffer_.assign(bytes.substr(used));
@@ -65,13 +69,19 @@
   end_turn();
 }
 
-// Pauses reading if input is left that can't be parsed yet, and releases memory that is not needed.
+void ClientConnection::begin_turn() {
+  turn_ends_at_ = shard_.now() + kMaxTurnDuration;
+  turn_over_ = false;
+}
+
+// Pauses reading if input is left that can't be parsed in this turn, and releases memory that is not needed.
 void ClientConnection::end_turn() {
   if (state_ != ClientConnectionState::reading) {
     std::string().swap(read_buffer_);
-  } else if (pipeline_full() || (!read_buffer_.empty() && responses_unread())) {
+  } else if (pipeline_full() || (!read_buffer_.empty() && (turn_over_ || responses_unread()))) {
     reading_paused_ = true;
     stream_->set_reading(false);
+    if (!pipeline_full() && !responses_unread()) resume_reading_later();
   } else if (parser_.between_messages() && requests_.empty()) {
     // There may be thousands of idle connections.
     std::string().swap(request_body_);
@@ -89,12 +99,14 @@
   });
 }
 
-// Resumes reading once the pipeline is no longer full and the client has read enough of its responses.
+// Resumes reading once the pipeline is no longer full and the client has read enough of its responses, or in the
+// turn after the one that was over.
 void ClientConnection::resume_reading() {
   if (!reading_paused_ || state_ == ClientConnectionState::closed) return;
   if (state_ == ClientConnectionState::reading && (pipeline_full() || responses_unread())) return;
   reading_paused_ = false;
   if (state_ == ClientConnectionState::reading && !read_buffer_.empty()) {
+    begin_turn();
     read_buffer_.erase(0, parse(read_buffer_));
     end_turn();
   }
@@ -174,7 +186,7 @@
 std::size_t ClientConnection::parse(std::string_view in) {
   parsing_ = true;
   std::size_t used = 0;
-  const auto must_wait = [&] { return used < in.size() && responses_unread(); };
+  const auto must_wait = [&] { return used < in.size() && (turn_over_ || responses_unread()); };
   while (state_ == ClientConnectionState::reading && !pipeline_full() && !must_wait()) {
     if (parser_.between_messages()) head_started_at_ = shard_.now();
     const auto read = parser_.next(in.substr(used));
@@ -194,6 +206,7 @@
     } else if (read.event == Event::end) {
       last_active_at_ = shard_.now();
       dispatch();
+      turn_over_ = shard_.now() >= turn_ends_at_;
     } else {
       router::Problem problem;
       problem.status = parser_.status();
--- a/src/path/client_connection.hpp
+++ b/src/path/client_connection.hpp
@@ -15,6 +15,8 @@
 //   shard (buffer_limit.hpp), and incomplete requests are rejected above `listen.buffered`.
 // - A client pipelines requests and does not read the responses to those that are answered at once. Above
 //   `listen.high_water` bytes, no further request is read.
+// - A client pipelines requests that are answered at once, as fast as it can. The others would wait until all bytes
+//   that were read are answered. After kMaxTurnDuration the rest waits for the next turn of the event loop.
 //
 // All calls are made on the thread of the shard. The states are listed in ClientConnectionState
 // (state_tables.hpp).
@@ -71,6 +73,7 @@
  private:
   [[nodiscard]] bool pipeline_full() const;
   [[nodiscard]] bool responses_unread() const;  // so many that no further request is dispatched
+  void begin_turn();
   void end_turn();
   void resume_reading();
   void resume_reading_later();
@@ -106,7 +109,9 @@
   Time head_started_at_{}, last_active_at_{}, last_write_at_{};
   ClientConnectionState state_ = ClientConnectionState::reading;
   BufferedBytes input_bytes_, output_bytes_;
-  bool parsing_ = false;  // parse() refers to the buffers
+  Time turn_ends_at_{};     // until then this connection may dispatch requests in the current turn
+  bool turn_over_ = false;  // the input that is left waits for the next turn
+  bool parsing_ = false;    // parse() refers to the buffers
   bool awaiting_writable_ = false, reading_paused_ = false;
 };
 
--- a/tests/path/http_client_test.cpp
+++ b/tests/path/http_client_test.cpp
@@ -108,6 +108,23 @@
   EXPECT_TRUE(client->reading);
 }
 
+// A client pipelines requests that are answered at once. One read delivers hundreds of them, and other clients waited
+// until all were answered: more than a second for GET /metrics.
+TEST_F(HttpClients, OtherClientsAreServedBetweenThePipelinedRequestsOfOne) {
+  const auto busy = connect_client();
+  const auto other = connect_client();
+  const auto requests = small_requests();
+  time_per_call_ = 50us;
+  busy->deliver(requests);
+  EXPECT_LT(response_count(*busy), count_requests(requests) / 2);
+  other->deliver("GET /healthz HTTP/1.1\r\nhost: a\r\n\r\n");
+  EXPECT_EQ(response_count(*other), 1U);
+  EXPECT_LT(response_count(*busy), count_requests(requests) / 2);
+  run_deferred();
+  EXPECT_EQ(response_count(*busy), count_requests(requests));
+  EXPECT_TRUE(busy->reading);
+}
+
 // A client closes its connection with much still unread. Nothing of it was looked at before a start, so the query ran
 // although its client was gone.
 TEST_F(HttpClients, NothingStartsBeforeUnreadInputOfTheClientIsRead) {
