The wait for unread input of a client begins three times at most for one start

Cause: on a thread whose turns take longer than 50 ms, a client that sends often would be held back as long as it goes on: each round of the wait ends with newer input unread.

Change: kMaxRounds. All input is still read that had arrived before the last round.

--- a/src/path/unread_input.cpp
+++ b/src/path/unread_input.cpp
@@ -13,11 +13,14 @@
 // The greatest age of unread input at a start. Half of the 100 ms after which the platform counts an attempt for a
 // client that has gone.
 constexpr Time kMaxInputAge = std::chrono::milliseconds(50);
+// Number of times that the wait may begin for one start, so that a client that sends often is not held back for long
+// while the thread is slow. All input is read then that had arrived before the last of them.
+constexpr unsigned kMaxRounds = 3;
 
 }  // namespace
 
-void UnreadInputWait::begin(const UnreadInput& input, Time now) {
-  waiting_ = true;
+void UnreadInputWait::begin_round(const UnreadInput& input, Time now) {
+  ++rounds_;
   since_ = now;
   awaited_bytes_ = input.read_bytes + input.unread_bytes;
   read_bytes_ = input.read_bytes;
@@ -26,11 +29,11 @@
 
 bool UnreadInputWait::continues(const std::optional<UnreadInput>& input, Time now) {
   if (!input) {
-    waiting_ = false;
+    rounds_ = 0;
     return false;
   }
-  if (!waiting_) {
-    begin(*input, now);
+  if (rounds_ == 0) {
+    begin_round(*input, now);
     return true;
   }
   const bool all_read = input->read_bytes >= awaited_bytes_;
@@ -40,11 +43,11 @@
     turns_ = 0;
   }
   if (++turns_ < (all_read ? kTurnsPerRead : kMaxTurnsWithoutProgress)) return true;
-  if (all_read && now > since_ + kMaxInputAge) {
-    begin(*input, now);
+  if (all_read && now > since_ + kMaxInputAge && rounds_ < kMaxRounds) {
+    begin_round(*input, now);
     return true;
   }
-  waiting_ = false;
+  rounds_ = 0;
   return false;
 }
 
--- a/src/path/unread_input.hpp
+++ b/src/path/unread_input.hpp
@@ -4,7 +4,7 @@
 // is the end of the connection or a cancellation. The attempt starts, and an engine runs a query for a client that
 // has been gone for a long time. Guard: the start waits until every byte has been read that was unread when it was
 // due, and then for the end of the input, which may follow the last byte. Where this took longer than kMaxInputAge,
-// the client may have left meanwhile, and the wait begins again. So at a start no input is unread that is older.
+// the client may have left meanwhile, and the wait begins again, kMaxRounds times at most.
 //
 // A client that sends all the time delays only its own requests: the wait does not cover what it sends meanwhile.
 #pragma once
@@ -30,9 +30,9 @@
   bool continues(const std::optional<UnreadInput>& input, Time now);
 
  private:
-  void begin(const UnreadInput& input, Time now);
+  void begin_round(const UnreadInput& input, Time now);
 
-  bool waiting_ = false;
+  unsigned rounds_ = 0;  // 0: no start waits
   Time since_{};
   std::uint64_t awaited_bytes_ = 0;  // value of read_bytes once all input of that time is read
   std::uint64_t read_bytes_ = 0;     // at the last progress
--- a/tests/path/unread_input_test.cpp
+++ b/tests/path/unread_input_test.cpp
@@ -72,6 +72,21 @@
   EXPECT_FALSE(wait.continues(std::nullopt, later));
 }
 
+// On a slow thread each turn takes longer than the greatest age of input. A client that sends often would wait forever.
+TEST(UnreadInputWait, EndsOnASlowThreadAlthoughTheClientGoesOnSending) {
+  UnreadInputWait wait;
+  auto now = kNow;
+  std::uint64_t read = 0;
+  unsigned turns = 0;
+  while (wait.continues(UnreadInput{read, 100}, now) && turns < 100) {
+    ++turns;
+    read += 100;
+    now += 60ms;
+  }
+  EXPECT_LT(turns, 10U);
+  EXPECT_GT(turns, 3U) << "expected the wait to begin again at least once";
+}
+
 TEST(UnreadInputWait, EndsIfNothingIsReadAnyMore) {
   UnreadInputWait wait;
   unsigned turns = 0;
